--- /dev/null
+++ b/cmd/hornbeamlift/main.go
@@ -0,0 +1,4 @@
+// Command hornbeamlift dispatches short tasks from callers to endpoints.
+package main
+
+func main() {}
