Add the submission table of the home instance

Cause: a task must start at most once across resubmissions, retries and late results, with no store call per job. Change: the home keeps each submission under the sequence number of its id; an attempt is handed out once, and a next attempt needs proof that the one before did not start or an idempotent request. Ids expire by sequence number, since a caller could alter the issue time. Outputs beyond 64 MB are dropped oldest first and reported as answer-dropped.

--- a/internal/core/fault/fault.go
+++ b/internal/core/fault/fault.go
@@ -52,6 +52,8 @@
 	QuotaExhausted Kind = "quota-exhausted"
 	// Cancelled: the caller cancelled the submission.
 	Cancelled Kind = "cancelled"
+	// AnswerDropped: the work ran, but its outputs were given up to save memory.
+	AnswerDropped Kind = "answer-dropped"
 	// EndpointFailed: the endpoint ran the task and reported a failure.
 	EndpointFailed Kind = "endpoint-failed"
 	// EndpointBusy: the endpoint refused the task for want of a slot.
--- /dev/null
+++ b/internal/decide/submission/entry.go
@@ -0,0 +1,103 @@
+package submission
+
+import (
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+)
+
+// phase is where one task of a submission stands.
+type phase uint8
+
+const (
+	// queued: the task waits at the home and has not started.
+	queued phase = iota
+	// out: the current attempt was handed to an executor.
+	out
+	// succeeded and failed are final.
+	succeeded
+	failed
+)
+
+// task is the home's record of one task.
+type task struct {
+	phase    phase
+	attempt  ident.Attempt
+	executor ident.Process
+	output   []byte
+	failure  *fault.Error
+}
+
+// Entry is the home's record of one submission.
+type Entry struct {
+	Submission work.Submission
+	digest     uint64
+	repeatable bool
+	tasks      []task
+	// open counts the tasks that are not final.
+	open   int
+	answer *work.Answer
+	// size is the number of bytes of outputs that the answer holds.
+	size int
+	// dropped is true when the outputs were given up to save memory.
+	dropped   bool
+	completed time.Time
+	heapIndex int
+}
+
+// Done reports whether every task is final.
+func (e *Entry) Done() bool { return e.open == 0 }
+
+// Open returns the number of tasks that are not final.
+func (e *Entry) Open() int { return e.open }
+
+// Answer returns the whole answer, or one in state Running while tasks are
+// open.
+func (e *Entry) Answer() work.Answer {
+	if e.answer == nil {
+		return work.Answer{ID: e.Submission.ID, State: work.Running}
+	}
+	return *e.answer
+}
+
+// complete builds the answer once every task is final. Outputs are given only
+// when all tasks succeeded, so that no caller takes a part for the whole.
+func (e *Entry) complete(now time.Time) {
+	a := &work.Answer{ID: e.Submission.ID, State: work.Complete}
+	for i := range e.tasks {
+		if e.tasks[i].phase == failed {
+			a.State = work.Failed
+			a.Failures = append(a.Failures, work.TaskFailure{Task: i, Error: e.tasks[i].failure})
+		}
+	}
+	if a.State == work.Complete {
+		a.Outputs = make([][]byte, len(e.tasks))
+		for i := range e.tasks {
+			a.Outputs[i] = e.tasks[i].output
+			e.size += len(e.tasks[i].output)
+		}
+	}
+	e.answer = a
+	e.completed = now
+	e.tasks = nil
+	e.Submission.Tasks = nil
+}
+
+// newTask returns the attempt of task i that may be handed out next.
+func (e *Entry) newTask(now time.Time, i int) *work.Task {
+	in := &e.Submission.Tasks[i]
+	return &work.Task{
+		ID:         ident.TaskID{Submission: e.Submission.ID, Index: i},
+		Attempt:    e.tasks[i].attempt,
+		Service:    e.Submission.Service,
+		Team:       e.Submission.Team,
+		Home:       e.Submission.ID.Home(),
+		Body:       in.Body,
+		Deadline:   in.Deadline,
+		Size:       in.Size,
+		Repeatable: e.repeatable,
+		Enqueued:   now,
+	}
+}
--- /dev/null
+++ b/internal/decide/submission/table.go
@@ -0,0 +1,353 @@
+// Package submission decides what happens to the submissions whose home is
+// this process: which ids are new, running, answered or too old, which attempt
+// of a task counts, and when an answer is whole.
+//
+// A task is handed out again only through NotStarted, which needs proof that
+// the attempt did not start, or through Repeat, which the caller of the
+// package allows for idempotent single requests.
+package submission
+
+import (
+	"container/heap"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+)
+
+// Config holds the bounds of a Table.
+type Config struct {
+	Self       ident.Process
+	DataCentre ident.DataCentre
+	// Started is the process's start, from which issue times count.
+	Started time.Time
+	// Retention is how long an id may be used after its issue.
+	Retention time.Duration
+	// MaxRetained bounds the bytes of outputs kept for finished submissions.
+	MaxRetained int
+}
+
+// Defaults fills the fields that are zero.
+func (c *Config) Defaults() {
+	if c.Retention == 0 {
+		c.Retention = 10 * time.Minute
+	}
+	if c.MaxRetained == 0 {
+		c.MaxRetained = 64 << 20
+	}
+}
+
+// Validate reports the first field out of range.
+func (c *Config) Validate() error {
+	bad := fault.New(fault.SettingsInvalid, fault.RanNo)
+	switch {
+	case !ident.ValidName(string(c.Self.Instance)):
+		return bad.WithField("instance").WithDetail("must be a name")
+	case !ident.ValidName(string(c.DataCentre)):
+		return bad.WithField("data-centre").WithDetail("must be a name")
+	case c.Retention < time.Second:
+		return bad.WithField("retention").WithDetail("must be at least 1s")
+	case c.MaxRetained < 0:
+		return bad.WithField("max-retained").WithDetail("must not be negative")
+	}
+	return nil
+}
+
+// Table holds the submissions of one home process.
+type Table struct {
+	cfg     Config
+	issuer  issuer
+	entries map[uint64]*Entry
+	// deadlines orders the open entries.
+	deadlines deadlineHeap
+	// finished lists the answered entries in order of completion.
+	finished []*Entry
+	// holding lists the finished entries that keep outputs, oldest first, and
+	// retained sums the bytes of these outputs.
+	holding  []*Entry
+	retained int
+	// delegated lists the tasks that each other process has.
+	delegated map[ident.Process]map[ident.TaskID]ident.Attempt
+}
+
+// NewTable returns an empty table.
+func NewTable(cfg Config) *Table {
+	cfg.Defaults()
+	return &Table{
+		cfg: cfg,
+		issuer: issuer{
+			process:    cfg.Self,
+			dataCentre: cfg.DataCentre,
+			started:    cfg.Started,
+			retention:  cfg.Retention,
+		},
+		entries:   map[uint64]*Entry{},
+		delegated: map[ident.Process]map[ident.TaskID]ident.Attempt{},
+	}
+}
+
+// Issue returns n new ids.
+func (t *Table) Issue(now time.Time, n int) []ident.SubmissionID { return t.issuer.issue(now, n) }
+
+// Open returns the number of submissions without an answer.
+func (t *Table) Open() int { return len(t.deadlines) }
+
+// Len returns the number of submissions kept.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Find returns the entry of an id, or nil when the id is valid and nothing was
+// submitted under it. Its failures are IDUnknown and IDExpired.
+func (t *Table) Find(now time.Time, id ident.SubmissionID) (*Entry, *fault.Error) {
+	if e := t.entries[id.Sequence]; e != nil && e.Submission.ID == id {
+		return e, nil
+	}
+	t.issuer.expire(now)
+	switch {
+	case id.Home() != t.cfg.Self, id.Sequence > t.issuer.issued:
+		return nil, fault.New(fault.IDUnknown, fault.RanNo).WithField("id")
+	case t.entries[id.Sequence] != nil:
+		return nil, fault.New(fault.IDUnknown, fault.RanNo).WithField("id").
+			WithDetail("the issue time does not belong to the sequence number")
+	case id.Sequence <= t.issuer.expired:
+		return nil, fault.New(fault.IDExpired, fault.RanUnknown).WithField("id")
+	}
+	return nil, nil
+}
+
+// Match checks a resubmission against the first one. Its failure is
+// IDConflict: the id was used with another body.
+func (e *Entry) Match(digest uint64) *fault.Error {
+	if e.digest != digest {
+		return fault.New(fault.IDConflict, fault.RanUnknown).WithField("id")
+	}
+	return nil
+}
+
+// Add records a new submission and returns its tasks, to be queued in order.
+// The id must have passed Find as new.
+func (t *Table) Add(now time.Time, s work.Submission, digest uint64, repeatable bool) (*Entry, []*work.Task) {
+	e := &Entry{
+		Submission: s,
+		digest:     digest,
+		repeatable: repeatable,
+		tasks:      make([]task, len(s.Tasks)),
+		open:       len(s.Tasks),
+	}
+	t.entries[s.ID.Sequence] = e
+	heap.Push(&t.deadlines, e)
+	tasks := make([]*work.Task, len(s.Tasks))
+	for i := range tasks {
+		e.tasks[i].attempt = 1
+		tasks[i] = e.newTask(now, i)
+	}
+	return e, tasks
+}
+
+// current returns the record of a task when attempt is its newest one and the
+// task is not final.
+func (t *Table) current(id ident.TaskID, attempt ident.Attempt) (*Entry, *task) {
+	e := t.entries[id.Submission.Sequence]
+	if e == nil || e.Submission.ID != id.Submission || id.Index < 0 || id.Index >= len(e.tasks) {
+		return nil, nil
+	}
+	k := &e.tasks[id.Index]
+	if k.attempt != attempt || k.phase == succeeded || k.phase == failed {
+		return nil, nil
+	}
+	return e, k
+}
+
+// Task returns an attempt that is queued or out, or nil when it is final or
+// outdated.
+func (t *Table) Task(now time.Time, id ident.TaskID, attempt ident.Attempt) *work.Task {
+	e, k := t.current(id, attempt)
+	if k == nil {
+		return nil
+	}
+	return e.newTask(now, id.Index)
+}
+
+// HandOut records that an attempt goes to the executor. It returns false when
+// the attempt is out already, outdated or final; then it must not be handed
+// out.
+func (t *Table) HandOut(id ident.TaskID, attempt ident.Attempt, executor ident.Process) bool {
+	_, k := t.current(id, attempt)
+	if k == nil || k.phase != queued {
+		return false
+	}
+	k.phase = out
+	k.executor = executor
+	if executor != t.cfg.Self {
+		if t.delegated[executor] == nil {
+			t.delegated[executor] = map[ident.TaskID]ident.Attempt{}
+		}
+		t.delegated[executor][id] = attempt
+	}
+	return true
+}
+
+// NotStarted takes an attempt back that provably did not start, and returns
+// the next attempt to be queued, or nil when the task is final or outdated.
+func (t *Table) NotStarted(now time.Time, id ident.TaskID, attempt ident.Attempt) *work.Task {
+	return t.again(now, id, attempt)
+}
+
+// Repeat gives up on an attempt of unknown outcome and returns the next one.
+// It returns nil for submissions that are not repeatable.
+func (t *Table) Repeat(now time.Time, id ident.TaskID, attempt ident.Attempt) *work.Task {
+	if e, _ := t.current(id, attempt); e == nil || !e.repeatable {
+		return nil
+	}
+	return t.again(now, id, attempt)
+}
+
+func (t *Table) again(now time.Time, id ident.TaskID, attempt ident.Attempt) *work.Task {
+	e, k := t.current(id, attempt)
+	if k == nil || k.phase != out {
+		return nil
+	}
+	t.forget(k, id)
+	k.phase = queued
+	k.attempt++
+	return e.newTask(now, id.Index)
+}
+
+// Resolve records the final outcome of an attempt. It returns the entry when
+// this was its last open task, and reports whether the result counted.
+func (t *Table) Resolve(now time.Time, r *work.Result) (done *Entry, counted bool) {
+	e, k := t.current(r.Task, r.Attempt)
+	if k == nil {
+		return nil, false
+	}
+	if t.settle(now, e, k, r) {
+		return e, true
+	}
+	return nil, true
+}
+
+// settle makes a task final and reports whether that completed the entry.
+func (t *Table) settle(now time.Time, e *Entry, k *task, r *work.Result) bool {
+	t.forget(k, r.Task)
+	k.phase, k.output = succeeded, r.Output
+	if r.Failure != nil {
+		k.phase, k.output, k.failure = failed, nil, r.Failure
+	}
+	e.open--
+	if e.open > 0 {
+		return false
+	}
+	heap.Remove(&t.deadlines, e.heapIndex)
+	e.complete(now)
+	t.finished = append(t.finished, e)
+	t.retain(e)
+	return true
+}
+
+// forget removes a task from the index of its executor.
+func (t *Table) forget(k *task, id ident.TaskID) {
+	if k.phase != out || k.executor == t.cfg.Self {
+		return
+	}
+	m := t.delegated[k.executor]
+	delete(m, id)
+	if len(m) == 0 {
+		delete(t.delegated, k.executor)
+	}
+}
+
+// Delegated returns the attempts that a process has, in no particular order.
+func (t *Table) Delegated(p ident.Process) map[ident.TaskID]ident.Attempt { return t.delegated[p] }
+
+// Executors returns the other processes that have attempts of an entry.
+func (t *Table) Executors(e *Entry) []ident.Process {
+	seen := map[ident.Process]bool{}
+	var ps []ident.Process
+	for i := range e.tasks {
+		k := &e.tasks[i]
+		if k.phase == out && k.executor != t.cfg.Self && !seen[k.executor] {
+			seen[k.executor] = true
+			ps = append(ps, k.executor)
+		}
+	}
+	return ps
+}
+
+// Abandon makes all open tasks of an entry final with the kind of failure:
+// queued ones did not run, the others may have.
+func (t *Table) Abandon(now time.Time, e *Entry, kind fault.Kind) {
+	for i := range e.tasks {
+		k := &e.tasks[i]
+		if k.phase == succeeded || k.phase == failed {
+			continue
+		}
+		ran := fault.RanNo
+		if k.phase == out {
+			ran = fault.RanUnknown
+		}
+		r := work.Result{
+			Task:    ident.TaskID{Submission: e.Submission.ID, Index: i},
+			Attempt: k.attempt,
+			Failure: fault.New(kind, ran),
+		}
+		if t.settle(now, e, k, &r) {
+			return
+		}
+	}
+}
+
+// Overdue returns an open entry whose deadline has passed, or nil.
+func (t *Table) Overdue(now time.Time) *Entry {
+	if len(t.deadlines) == 0 || t.deadlines[0].Submission.Deadline.After(now) {
+		return nil
+	}
+	return t.deadlines[0]
+}
+
+// Dropped reports whether the outputs were given up to save memory. The work
+// ran, but its answer can't be fetched any more.
+func (e *Entry) Dropped() bool { return e.dropped }
+
+// retain counts the outputs of a finished entry and drops the oldest ones
+// beyond the bound. The newest stays, since its caller has yet to get it.
+func (t *Table) retain(e *Entry) {
+	if e.size == 0 {
+		return
+	}
+	t.retained += e.size
+	t.holding = append(t.holding, e)
+	for t.retained > t.cfg.MaxRetained && len(t.holding) > 1 {
+		t.drop(t.holding[0])
+		t.holding[0] = nil
+		t.holding = t.holding[1:]
+	}
+}
+
+// drop gives up the outputs of an entry.
+func (t *Table) drop(e *Entry) {
+	t.retained -= e.size
+	e.size = 0
+	e.dropped = true
+	e.answer.Outputs = nil
+}
+
+// Expire forgets the finished entries whose ids are older than the retention.
+// Their ids are refused as expired from then on.
+func (t *Table) Expire(now time.Time) {
+	t.issuer.expire(now)
+	n := 0
+	for n < len(t.finished) && now.Sub(t.finished[n].completed) > t.cfg.Retention+markInterval {
+		e := t.finished[n]
+		if e.Submission.ID.Sequence > t.issuer.expired {
+			break
+		}
+		if e.size > 0 {
+			t.drop(e)
+			t.holding = t.holding[1:]
+		}
+		delete(t.entries, e.Submission.ID.Sequence)
+		t.finished[n] = nil
+		n++
+	}
+	t.finished = t.finished[n:]
+}
