--- /dev/null
+++ b/internal/decide/retry/budget_test.go
@@ -0,0 +1,97 @@
+package retry_test
+
+import (
+	"flag"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/decide/retry"
+)
+
+// TestMain fixes the seed of the generated tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestBudgetAgainstLog guards against retries beyond the budget, and against
+// refusals within it, by comparison with a log of all events.
+func TestBudgetAgainstLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := retry.Config{
+			Fraction: rapid.SampledFrom([]float64{0, 0.1, 0.5, 1}).Draw(t, "fraction"),
+			Flat:     rapid.IntRange(0, 10).Draw(t, "flat"),
+			Window:   10 * time.Second,
+		}
+		b := retry.NewBudget(cfg)
+		var attempts, spent []int
+		b.Remaining(epoch)
+		at := time.Duration(0)
+		recent := func(log []int) (n int) {
+			for _, second := range log {
+				if second > int(at/time.Second)-10 {
+					n++
+				}
+			}
+			return n
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				at += time.Duration(rapid.IntRange(0, 15_000).Draw(t, "ms")) * time.Millisecond
+			},
+			"attempt": func(t *rapid.T) {
+				for range rapid.IntRange(1, 50).Draw(t, "n") {
+					b.Attempted(epoch.Add(at))
+					attempts = append(attempts, int(at/time.Second))
+				}
+			},
+			"allow": func(t *rapid.T) {
+				limit := cfg.Flat + int(math.Round(cfg.Fraction*100))*recent(attempts)/100
+				want := recent(spent) < limit
+				if got := b.Allow(epoch.Add(at)); got != want {
+					t.Fatalf("Allow = %v, %d spent of %d", got, recent(spent), limit)
+				}
+				if want {
+					spent = append(spent, int(at/time.Second))
+				}
+			},
+		})
+	})
+}
+
+// TestConfigValidate guards against limits that the budget cannot count with.
+func TestConfigValidate(t *testing.T) {
+	cases := map[string]struct {
+		change func(*retry.Config)
+		field  string
+	}{
+		"defaults":           {func(*retry.Config) {}, ""},
+		"fraction above 1":   {func(c *retry.Config) { c.Fraction = 1.1 }, "retry.fraction"},
+		"fraction no number": {func(c *retry.Config) { c.Fraction = math.NaN() }, "retry.fraction"},
+		"negative flat":      {func(c *retry.Config) { c.Flat = -1 }, "retry.flat"},
+		"no window":          {func(c *retry.Config) { c.Window = 0 }, "retry.window"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cfg := retry.Defaults()
+			c.change(&cfg)
+			err := cfg.Validate()
+			is.Equal(err == nil, c.field == "")
+			if err != nil {
+				is.Equal(fault.From(err).Field, c.field)
+			}
+		})
+	}
+}
