--- /dev/null
+++ b/internal/decide/endpoints/config.go
@@ -0,0 +1,132 @@
+package endpoints
+
+import (
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+)
+
+// Config holds the thresholds of a Pool.
+type Config struct {
+	// ConsecutiveFailures is the number of failures in a row, with no success
+	// between, after which an endpoint is ejected.
+	ConsecutiveFailures int
+	// Window is the number of latest outcomes kept for each endpoint, at most
+	// 64. An endpoint is also ejected when its failures there exceed
+	// WindowFailures (a share of Window, from 0 to 1) and the share among its
+	// peers' outcomes does not.
+	Window         int
+	WindowFailures float64
+	// EjectionMin is the length of the first ejection. Each further one takes
+	// twice as long, up to EjectionMax. An endpoint that stays in use for
+	// EjectionMax after its return starts again at EjectionMin.
+	EjectionMin, EjectionMax time.Duration
+	// EjectedShare bounds the endpoints that are ejected at once, as a share
+	// of those owned, from 0 to 1. With two endpoints or more, one may always
+	// be ejected.
+	EjectedShare float64
+	// ProbationSuccesses is the number of tasks, one at a time, that must
+	// succeed after an ejection before all slots are used again.
+	ProbationSuccesses int
+	// StragglerSpeed is the share of the median speed of its peers below which
+	// an endpoint is a straggler, from 0 to 1.
+	StragglerSpeed float64
+	// SpeedSpread is the usual standard deviation of the natural logarithm of
+	// endpoint speeds within a service. The smaller it is, the more
+	// observations a deviating speed takes to be believed.
+	SpeedSpread float64
+	// SpeedHalfLife is the time in which the observations of an unused
+	// endpoint lose half of their weight, so that a straggler is tried again
+	// some minutes later.
+	SpeedHalfLife time.Duration
+	// SizeTrust is the number of observations after which half of the initial
+	// trust in declared sizes is left.
+	SizeTrust float64
+	// SizeLimit bounds the ratio between a declared size and the mean one, in
+	// both directions. It is at least 1.
+	SizeLimit float64
+	// ProgressFactor times the estimate, but at least ProgressMin, is the time
+	// after which a task in flight is checked on.
+	ProgressFactor float64
+	ProgressMin    time.Duration
+	// BusyBackOff is how long an endpoint gets no task after it refused one for
+	// want of a slot, or could not be reached. It doubles with each further
+	// refusal, up to BusyBackOffMax, until a task succeeds.
+	BusyBackOff, BusyBackOffMax time.Duration
+	// RefreshInterval is how often the median speed, the stragglers and the
+	// 95th percentile are computed again.
+	RefreshInterval time.Duration
+}
+
+// Defaults returns the thresholds of section 8 of the design.
+func Defaults() Config {
+	return Config{
+		ConsecutiveFailures: 5,
+		Window:              20,
+		WindowFailures:      0.5,
+		EjectionMin:         5 * time.Second,
+		EjectionMax:         60 * time.Second,
+		EjectedShare:        0.3,
+		ProbationSuccesses:  3,
+		StragglerSpeed:      0.2,
+		// Speeds of four to one across a fleet are about two standard
+		// deviations of 0.7 apart.
+		SpeedSpread:    0.7,
+		SpeedHalfLife:  60 * time.Second,
+		SizeTrust:      8,
+		SizeLimit:      10,
+		ProgressFactor: 3,
+		ProgressMin:    time.Second,
+		// The shortest common task takes 50 ms, so a slot that another owner
+		// holds is unlikely to be free sooner.
+		BusyBackOff:     50 * time.Millisecond,
+		BusyBackOffMax:  time.Second,
+		RefreshInterval: time.Second,
+	}
+}
+
+// Validate returns a failure of kind fault.ConfigInvalid that names the field
+// out of range.
+func (c Config) Validate() error {
+	checks := []struct {
+		ok            bool
+		field, detail string
+	}{
+		{c.ConsecutiveFailures >= 1, "consecutive-failures", "must be at least 1"},
+		{c.Window >= 1 && c.Window <= 64, "window", "must be from 1 to 64"},
+		{isShare(c.WindowFailures), "window-failures", "must be from 0 to 1"},
+		{c.EjectionMin > 0, "ejection-min", "must be above 0"},
+		{c.EjectionMax >= c.EjectionMin, "ejection-max", "must be at least ejection-min"},
+		{isShare(c.EjectedShare), "ejected-share", "must be from 0 to 1"},
+		{c.ProbationSuccesses >= 1, "probation-successes", "must be at least 1"},
+		{isShare(c.StragglerSpeed) && c.StragglerSpeed > 0, "straggler-speed", "must be above 0, at most 1"},
+		{c.SpeedSpread > 0, "speed-spread", "must be above 0"},
+		{c.SpeedHalfLife > 0, "speed-half-life", "must be above 0"},
+		{c.SizeTrust > 0, "size-trust", "must be above 0"},
+		{c.SizeLimit >= 1, "size-limit", "must be at least 1"},
+		{c.ProgressFactor >= 1, "progress-factor", "must be at least 1"},
+		{c.ProgressMin > 0, "progress-min", "must be above 0"},
+		{c.BusyBackOff > 0, "busy-back-off", "must be above 0"},
+		{c.BusyBackOffMax >= c.BusyBackOff, "busy-back-off-max", "must be at least busy-back-off"},
+		{c.RefreshInterval > 0, "refresh-interval", "must be above 0"},
+	}
+	for _, check := range checks {
+		if !check.ok {
+			return fault.New(fault.ConfigInvalid, fault.RanNo).
+				WithField("endpoints." + check.field).WithDetail(check.detail)
+		}
+	}
+	return nil
+}
+
+func isShare(f float64) bool { return f >= 0 && f <= 1 }
+
+// ejectable returns how many of n owned endpoints may be ejected at once.
+func (c *Config) ejectable(n int) int {
+	if n < 2 {
+		return 0
+	}
+	// The small addend keeps products such as 0.3*10 from being cut to the
+	// whole number below.
+	return max(1, int(c.EjectedShare*float64(n)+1e-9))
+}
