Add membership, suspicion and endpoint ownership

Cause: instances need one rule, without locks or a store, for who is alive and who owns which endpoint.

Change: member.View takes heartbeats, link changes and the platform's list with the current time passed in. Silence counts only while the process itself runs, so a pause does not make it take all others for dead. A heartbeat counts as confirmation after a pause only once 100 ms have passed, because buffers that filled during the pause may still deliver older ones. The list alone introduces a process as suspect; it replaces one only when that one has fallen silent.

Ownership is rendezvous hashing in which pairs of endpoint and instance are taken by falling score and an instance owns at most the mean, rounded up to whole endpoints.

Tests were seen to fail with the mechanism disabled: pause detection, the shift of silence, the 100 ms, the confirm wait, the checks of incarnations in Heard, LinkDown and for this process, the list version, the list's restraint towards live members, the shorter dead time of absent members, heartbeats to the dead, the bound on load, the fallback for uneven slots, and each rule for draining.

--- /dev/null
+++ b/internal/decide/member/bench_test.go
@@ -0,0 +1,62 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+	"hornbeamlift.example/hornbeamlift/internal/decide/member"
+)
+
+// BenchmarkTick measures one tick of a view whose peers all heartbeat.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{6, 12, 24, 48} {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			s := newSim(b)
+			for i := range n - 1 {
+				s.beating = append(s.beating, process(fmt.Sprint("entry-", i), 1))
+			}
+			s.run(time.Second)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s.now = s.now.Add(step)
+				if i%10 == 0 {
+					for _, p := range s.beating {
+						s.hear(p)
+					}
+					s.changes = nil
+				}
+				s.Tick(s.now)
+			}
+		})
+	}
+}
+
+// BenchmarkOwned measures the assignment after a change of membership, with
+// six instances in the data centre.
+func BenchmarkOwned(b *testing.B) {
+	for _, n := range []int{50, 200, 800} {
+		b.Run(fmt.Sprint("endpoints=", n), func(b *testing.B) {
+			s := newSim(b)
+			for i := range 5 {
+				s.hear(process(fmt.Sprint("entry-", i), 1))
+			}
+			var rows []work.Instance
+			for i := range n {
+				rows = append(rows, endpointRow(fmt.Sprint("worker-", i)))
+			}
+			s.SetList(s.now, 1, rows)
+			draining := false
+			b.ReportAllocs()
+			for b.Loop() {
+				draining = !draining
+				s.Heard(s.now, member.Heartbeat{Process: process("entry-1", 1), Draining: draining})
+				if len(s.Owned(ident.Service("render"))) == 0 {
+					b.Fatal("nothing is owned")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/member/view_test.go
@@ -0,0 +1,300 @@
+package member_test
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+	"hornbeamlift.example/hornbeamlift/internal/decide/member"
+)
+
+// TestMain fixes the seed of property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if f := flag.Lookup("rapid.seed"); f != nil && !given {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+const step = 100 * time.Millisecond
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// sim drives one view of entry-a in dc-1 with a manual clock.
+type sim struct {
+	t testing.TB
+	*member.View
+	now time.Time
+	// beating are the processes that are heard at each step.
+	beating []ident.Process
+	changes []member.Change
+	due     map[ident.InstanceID]int
+}
+
+func newSim(t testing.TB) *sim {
+	v, err := member.NewView(member.Config{Self: process("entry-a", 5), DataCentre: "dc-1"}, epoch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &sim{t: t, View: v, now: epoch, due: map[ident.InstanceID]int{}}
+}
+
+func process(id string, incarnation ident.Incarnation) ident.Process {
+	return ident.Process{Instance: ident.InstanceID(id), Incarnation: incarnation}
+}
+
+func (s *sim) hear(p ident.Process) {
+	s.changes = append(s.changes, s.Heard(s.now, member.Heartbeat{Process: p, DataCentre: "dc-1"})...)
+}
+
+// run lets d pass with a tick each step.
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(step)
+		for _, p := range s.beating {
+			s.hear(p)
+		}
+		due, changes := s.Tick(s.now)
+		s.changes = append(s.changes, changes...)
+		for _, id := range due {
+			s.due[id]++
+		}
+	}
+}
+
+func entryRow(id string, incarnation ident.Incarnation) work.Instance {
+	return work.Instance{ID: id, Kind: work.KindEntry, DataCentre: "dc-1", Incarnation: incarnation}
+}
+
+func endpointRow(id string) work.Instance {
+	return work.Instance{ID: id, Kind: work.KindEndpoint, DataCentre: "dc-1", Service: "render", Slots: 8}
+}
+
+// TestSilence guards against members that are suspected or declared dead too
+// early or too late for the signs that speak for or against them.
+func TestSilence(t *testing.T) {
+	b := process("entry-b", 1)
+	cases := map[string]struct {
+		signs         func(*sim)
+		suspect, dead time.Duration
+	}{
+		"listed":            {func(s *sim) { s.SetList(s.now, 1, []work.Instance{entryRow("entry-b", 1)}) }, 1500, 3000},
+		"no list":           {func(*sim) {}, 1500, 3000},
+		"absent":            {func(s *sim) { s.SetList(s.now, 1, []work.Instance{entryRow("entry-c", 1)}) }, 1500, 2000},
+		"link down":         {func(s *sim) { s.LinkDown(s.now, b) }, 0, 2000},
+		"goodbye":           {func(s *sim) { s.Goodbye(s.now, b) }, 1500, 2000},
+		"goodbye, no link":  {func(s *sim) { s.Goodbye(s.now, b); s.LinkDown(s.now, b) }, 0, 1500},
+		"link of old one":   {func(s *sim) { s.LinkDown(s.now, process("entry-b", 0)) }, 1500, 3000},
+		"far":               {func(s *sim) { s.Heard(s.now, member.Heartbeat{Process: b, DataCentre: "dc-2"}) }, 6000, 12000},
+		"still heard (far)": {func(s *sim) { s.LinkDown(s.now, b); s.hear(b) }, 1500, 3000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t)
+			s.hear(b)
+			c.signs(s)
+			for after := time.Duration(0); after <= 13000; after += 100 {
+				want := member.Alive
+				if after >= c.suspect {
+					want = member.Suspect
+				}
+				if after >= c.dead {
+					want = member.Dead
+				}
+				is.Equal(s.State(b), want) // state after this many ms
+				s.run(step)
+			}
+		})
+	}
+}
+
+// TestListDoesNotKill guards against a lagging list that removes or replaces a
+// member whose heartbeats arrive, or that brings a dead one back.
+func TestListDoesNotKill(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t)
+	b, c := process("entry-b", 2), process("entry-c", 3)
+	s.beating = []ident.Process{b}
+	s.run(time.Second)
+	rows := []work.Instance{entryRow("entry-b", 9), entryRow("entry-c", 3)}
+	_, newer := s.SetList(s.now, 4, rows)
+	is.True(newer)
+	s.run(time.Second)
+	is.Equal(s.State(b), member.Alive)
+	is.Equal(s.State(c), member.Suspect) // only listed so far
+	_, newer = s.SetList(s.now, 3, nil)
+	is.True(!newer) // lower version
+	is.Equal(len(s.List()), 2)
+	s.SetList(s.now, 5, nil)
+	s.run(5 * time.Second)
+	is.Equal(s.State(b), member.Alive)
+	is.Equal(s.State(c), member.Dead)
+	s.SetList(s.now, 6, rows)
+	is.Equal(s.State(c), member.Dead) // same process again
+	s.beating = nil
+	s.run(2 * time.Second)
+	is.Equal(s.State(b), member.Replaced) // silent, and the list knows a newer one
+	is.Equal(s.State(process("entry-b", 9)), member.Suspect)
+	is.Equal(s.ListVersion(), uint64(6))
+}
+
+// TestReplacement guards against two incarnations of one instance that both
+// count, and against a replaced process that goes on.
+func TestReplacement(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t)
+	old, young := process("entry-b", 7), process("entry-b", 8)
+	s.hear(old)
+	s.hear(young)
+	is.Equal(s.changes, []member.Change{
+		{Process: old, DataCentre: "dc-1", From: member.Unknown, To: member.Alive},
+		{Process: old, DataCentre: "dc-1", From: member.Alive, To: member.Replaced},
+		{Process: young, DataCentre: "dc-1", From: member.Unknown, To: member.Alive},
+	})
+	s.hear(old)
+	s.LinkDown(s.now, old)
+	is.Equal(s.State(old), member.Replaced)
+	is.Equal(s.State(young), member.Alive)
+	is.Equal(s.State(process("entry-b", 9)), member.Unknown)
+	is.Equal(s.ReplacedBy(old), ident.Incarnation(8))
+	is.Equal(s.ReplacedBy(young), ident.Incarnation(0))
+	is.Equal(s.ReplacedBy(process("entry-a", 4)), ident.Incarnation(5))
+
+	for name, hb := range map[string]member.Heartbeat{
+		"own id":  {Process: process("entry-a", 6)},
+		"by peer": {Process: young, ReplacedBy: 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t)
+			s.Heard(s.now, member.Heartbeat{Process: process("entry-a", 4)})
+			s.Heard(s.now, member.Heartbeat{Process: young, ReplacedBy: 5})
+			is.True(!s.Replaced()) // neither tells of a higher incarnation
+			s.Heard(s.now, hb)
+			is.True(s.Replaced())
+			is.Equal(s.State(process("entry-a", 5)), member.Replaced)
+		})
+	}
+}
+
+// TestPause guards against a process that starts queued work after a pause
+// before it could learn that it was replaced, that never starts again, or that
+// takes all others for dead because it slept.
+func TestPause(t *testing.T) {
+	b := process("entry-b", 1)
+	const ms = time.Millisecond
+	cases := map[string]struct {
+		pause     time.Duration
+		event     func(*sim)
+		confirmed bool
+	}{
+		"short pause":   {2900 * ms, func(*sim) {}, true},
+		"nothing heard": {3100 * ms, func(s *sim) { s.run(1900 * ms) }, false},
+		"waited":        {3100 * ms, func(s *sim) { s.run(2000 * ms) }, true},
+		"peer":          {3100 * ms, func(s *sim) { s.run(step); s.hear(b) }, true},
+		"stale buffer":  {3100 * ms, func(s *sim) { s.hear(b) }, false},
+		"store":         {3100 * ms, func(s *sim) { s.ConfirmStore(s.now) }, true},
+		"old process":   {3100 * ms, func(s *sim) { s.run(step); s.hear(process("entry-b", 0)) }, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t)
+			s.hear(b)
+			s.run(step)
+			s.now = s.now.Add(c.pause)
+			is.Equal(s.Confirmed(s.now), c.pause < 3*time.Second) // before the tick
+			s.Tick(s.now)
+			c.event(s)
+			is.Equal(s.Confirmed(s.now), c.confirmed)
+			is.True(s.State(b) != member.Dead)
+		})
+	}
+}
+
+// TestPartitionAndHeal guards against a dead member that is never looked for
+// again, and against endpoints that do not come back.
+func TestPartitionAndHeal(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t)
+	b := process("entry-b", 1)
+	rows := []work.Instance{entryRow("entry-a", 5), entryRow("entry-b", 1)}
+	for _, id := range []string{"w-1", "w-2", "w-3", "w-4"} {
+		rows = append(rows, endpointRow(id))
+	}
+	s.SetList(s.now, 1, rows)
+	s.beating = []ident.Process{b}
+	s.run(10 * time.Second)
+	is.True(s.due["entry-b"] >= 20 && s.due["entry-b"] <= 21) // 2 a second and one at once
+	before := slices.Clone(s.Owned("render"))
+	is.Equal(len(before), 2)
+	version := s.Version()
+	s.beating = nil
+	s.run(time.Hour)
+	is.Equal(s.State(b), member.Dead)
+	is.Equal(len(s.Owned("render")), 4)
+	is.True(s.Version() > version)
+	clear(s.due)
+	s.run(10 * time.Second)
+	is.Equal(s.due["entry-b"], 5) // the dead get one each far interval
+	s.hear(b)
+	is.Equal(s.State(b), member.Alive)
+	is.Equal(s.Owned("render"), before)
+}
+
+// TestDrain guards against a draining instance that keeps endpoints, and
+// against a data centre of draining instances that owns none.
+func TestDrain(t *testing.T) {
+	cases := map[string]struct {
+		drain     func(*sim)
+		own, peer int
+	}{
+		"none":        {func(*sim) {}, 2, 2},
+		"self":        {func(s *sim) { s.Drain() }, 0, 4},
+		"peer":        {func(s *sim) { s.Heard(s.now, member.Heartbeat{Process: process("entry-b", 1), Draining: true}) }, 4, 0},
+		"goodbye":     {func(s *sim) { s.Goodbye(s.now, process("entry-b", 1)); s.hear(process("entry-b", 1)) }, 4, 0},
+		"list":        {func(s *sim) { s.SetList(s.now, 2, leaving(s.List(), "entry-b")) }, 4, 0},
+		"all of them": {func(s *sim) { s.Drain(); s.Goodbye(s.now, process("entry-b", 1)) }, 2, 2},
+		"restarted":   {func(s *sim) { s.Goodbye(s.now, process("entry-b", 1)); s.hear(process("entry-b", 2)) }, 2, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t)
+			rows := []work.Instance{entryRow("entry-a", 5), entryRow("entry-b", 1)}
+			s.SetList(s.now, 1, append(rows, endpointRow("w-1"), endpointRow("w-2"), endpointRow("w-3"), endpointRow("w-4")))
+			s.hear(process("entry-b", 1))
+			c.drain(s)
+			count := map[ident.InstanceID]int{}
+			for _, id := range []ident.EndpointID{"w-1", "w-2", "w-3", "w-4"} {
+				owner, ok := s.Owner(id, "dc-1")
+				is.True(ok)
+				count[owner]++
+			}
+			is.Equal(count["entry-a"], c.own)
+			is.Equal(count["entry-b"], c.peer)
+			is.Equal(len(s.Owned("render")), c.own)
+			reader, ok := s.Reader("dc-1")
+			is.True(ok)
+			is.True(count[reader] > 0) // the reader does not drain either
+		})
+	}
+}
+
+func leaving(rows []work.Instance, id string) []work.Instance {
+	rows = slices.Clone(rows)
+	for i := range rows {
+		rows[i].Leaving = rows[i].Leaving || rows[i].ID == id
+	}
+	return rows
+}
