Add the mesh of peer links

Cause: instances exchange tasks, results, heartbeats and configuration.

Change: peer.Mesh keeps one yamux session with each peer process and one control and one traffic stream in each direction. A meter below yamux counts the bytes of each stream that reached the connection, so that OnDown can return exactly the messages of which no byte was written, and joins the header and body of a data frame into one write.

--- /dev/null
+++ b/internal/adapter/peer/writer.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
+)
+
+// batchBytes bounds the messages that share a frame, in bytes; a larger
+// message travels alone. When a link fails, the outcome of a whole frame may
+// be unknown, so frames stay small. yamux's window has the same size.
+const batchBytes = 256 << 10
+
+// writer carries the messages of one queue to its stream.
+type writer struct {
+	link    *link
+	kind    kind
+	queue   *queue
+	stream  *yamux.Stream
+	builder frameBuilder
+	// batch is the frame in progress, base the bytes of the frames before it.
+	batch []queued
+	base  uint64
+	load  []*peerpb.Load
+}
+
+// run writes frames until the link closes.
+func (w *writer) run() {
+	defer w.link.wg.Done()
+	defer w.link.shutdown()
+	for {
+		select {
+		case <-w.link.closing:
+			return
+		case <-w.queue.ready:
+		}
+		w.batch = w.queue.take(w.batch[:0], batchBytes)
+		if len(w.batch) > 0 && !w.write() {
+			return
+		}
+	}
+}
+
+// write sends the batch as one frame. After a failure the batch stays for
+// unsent.
+func (w *writer) write() bool {
+	w.builder.reset()
+	for _, item := range w.batch {
+		if err := w.builder.addMessage(item.message); err != nil {
+			w.link.mesh.report(w.link.address, err)
+			return false
+		}
+	}
+	if err := w.addLoad(); err != nil {
+		w.link.mesh.report(w.link.address, err)
+		return false
+	}
+	frame := w.builder.frame()
+	// The deadline bounds the wait for the peer's window. yamux measures it by
+	// the machine's clock.
+	if err := w.stream.SetWriteDeadline(time.Now().Add(w.link.mesh.cfg.WriteTimeout)); err != nil {
+		return false
+	}
+	if _, err := w.stream.Write(frame); err != nil {
+		return false
+	}
+	w.base += uint64(len(frame))
+	w.link.mesh.stats.stream(w.kind).Out.add(len(w.batch), len(frame))
+	w.link.mesh.pending.Add(-int64(len(w.batch)))
+	clear(w.batch)
+	w.batch = w.batch[:0]
+	return true
+}
+
+// addLoad attaches the load to a traffic frame when it has changed since the
+// last one on this link.
+func (w *writer) addLoad() error {
+	source := w.link.mesh.Load
+	if w.kind != traffic || source == nil {
+		return nil
+	}
+	load := source()
+	if slices.EqualFunc(load, w.load, func(a, b *peerpb.Load) bool { return a == b || proto.Equal(a, b) }) {
+		return nil
+	}
+	size := 0
+	for _, l := range load {
+		size += encodedSize(l)
+	}
+	if len(w.builder.buf)+size > w.link.mesh.cfg.MaxFrame {
+		return nil
+	}
+	w.load = load
+	return w.builder.addLoad(load)
+}
+
+// unsent returns the accepted messages of which no byte was written to the
+// connection. It is called after the session has ended.
+func (w *writer) unsent() []*peerpb.Message {
+	var messages []*peerpb.Message
+	sent := w.link.meter.sentOn(w.stream.StreamID())
+	for i, item := range w.batch {
+		if i >= len(w.builder.starts) || w.base+uint64(w.builder.starts[i]) >= sent {
+			messages = append(messages, item.message)
+		}
+	}
+	waiting := w.queue.close()
+	for _, item := range waiting {
+		messages = append(messages, item.message)
+	}
+	w.link.mesh.pending.Add(-int64(len(w.batch) + len(waiting)))
+	return messages
+}
