Add the client for endpoints

Cause: a task may be started again only on proof that it did not start, so each outcome of a call has to be classified exactly.

Change: adapter/endpoint sends each task once and reports NotStarted only on an explicit refusal or when no byte was written. A connection counts its writes and is sealed when a call is given up, because the transport may otherwise write a request whose call has already returned. There is one transport per endpoint process, with at most as many connections as slots; Status always uses a new connection.

--- /dev/null
+++ b/internal/adapter/endpoint/client.go
@@ -0,0 +1,113 @@
+// Package endpoint is the HTTP client towards endpoints. It hands over each
+// task once and says exactly what is known about its outcome.
+package endpoint
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+)
+
+// Call is one attempt of a task at an endpoint.
+type Call struct {
+	Instance work.Instance
+	Task     *work.Task
+	// Limit bounds the call, including the wait for a connection.
+	Limit time.Duration
+}
+
+// Client calls endpoints. It is safe for concurrent use.
+type Client struct {
+	settings Settings
+	pool     pool
+	status   *http.Transport
+
+	mu    sync.Mutex
+	stats Stats
+}
+
+// New returns a client. The failure has kind fault.SettingsInvalid.
+func New(settings Settings) (*Client, error) {
+	settings = settings.Defaults()
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	c := &Client{settings: settings}
+	c.pool = pool{dial: c.dial, transports: map[process]*http.Transport{}}
+	c.status = &http.Transport{
+		DialContext: settings.Dial,
+		// An instance uses one connection to an endpoint beside its slots.
+		MaxConnsPerHost:    1,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+	return c, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.pool.close()
+	c.status.CloseIdleConnections()
+}
+
+// Retire takes all connections to the instance out of use: idle ones are
+// closed, calls in progress go on, and new calls use new connections.
+func (c *Client) Retire(in work.Instance) {
+	if c.pool.drop(in) {
+		c.count(func(s *Stats) { s.Retired++ })
+	}
+}
+
+// Forget frees what is held for an instance that is no longer used.
+func (c *Client) Forget(in work.Instance) { c.pool.drop(in) }
+
+// TaskName returns the name of a task in the header Hornbeamlift-Task and in
+// an endpoint's status.
+func TaskName(id ident.TaskID) string {
+	return id.Submission.String() + "/" + strconv.Itoa(id.Index)
+}
+
+// Start hands one attempt of a task to an endpoint and waits for its outcome.
+// The request is sent at most once.
+//
+// The result has NotStarted set only on proof: the endpoint's explicit refusal,
+// or no byte of the request was written. Its failure then is
+// fault.EndpointBusy, fault.Draining, fault.DeadlineUnmeetable,
+// fault.EndpointUnreachable, fault.DeadlineExceeded or fault.Cancelled, ran no.
+// Otherwise a failure is one of these:
+//   - fault.EndpointFailed, ran yes: the endpoint reported a failure
+//   - fault.Cancelled, ran yes: ctx was cancelled
+//   - fault.OutcomeUnknown, ran unknown: no whole answer arrived in time
+func (c *Client) Start(ctx context.Context, call Call) work.Result {
+	result := work.Result{
+		Task: call.Task.ID, Attempt: call.Task.Attempt,
+		Endpoint: ident.EndpointID(call.Instance.ID), Incarnation: call.Instance.Incarnation,
+	}
+	a := attempt{call: call, clock: c.settings.Clock}
+	output, failure := a.run(ctx, c.pool.transport(call.Instance))
+	result.Output, result.Failure = output, failure
+	result.NotStarted = failure != nil && failure.Ran == fault.RanNo
+	if !result.NotStarted {
+		result.Took = c.settings.Clock.Now().Sub(a.connectedAt())
+	}
+	c.count(func(s *Stats) { s.add(result, a.reused()) })
+	return result
+}
+
+// dial opens a connection that counts its writes.
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c.count(func(s *Stats) { s.Dials++ })
+	inner, err := c.settings.Dial(ctx, network, address)
+	if err != nil {
+		c.count(func(s *Stats) { s.DialFailures++ })
+		return nil, err
+	}
+	return &conn{Conn: inner}, nil
+}
--- /dev/null
+++ b/internal/adapter/endpoint/client_test.go
@@ -0,0 +1,257 @@
+package endpoint_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/endpoint"
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+	standin "hornbeamlift.example/hornbeamlift/internal/standin/platform"
+)
+
+type outcome struct {
+	kind       fault.Kind
+	ran        fault.Ran
+	notStarted bool
+}
+
+func outcomeOf(r work.Result) outcome {
+	if r.Failure == nil {
+		return outcome{notStarted: r.NotStarted}
+	}
+	return outcome{r.Failure.Kind, r.Failure.Ran, r.NotStarted}
+}
+
+var (
+	unknown   = outcome{fault.OutcomeUnknown, fault.RanUnknown, false}
+	failed    = outcome{fault.EndpointFailed, fault.RanYes, false}
+	unreached = outcome{fault.EndpointUnreachable, fault.RanNo, true}
+)
+
+// TestStartReply guards against a reply that is taken for another outcome: a
+// task reported as not started would be started a second time.
+func TestStartReply(t *testing.T) {
+	const failure = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n"
+	cases := map[string]struct {
+		answer func(int, net.Conn) bool
+		want   outcome
+		output string
+		detail string
+	}{
+		"success":                 {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), outcome{}, "ok", ""},
+		"chunked":                 {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), outcome{}, "ok", ""},
+		"busy":                    {reply("HTTP/1.1 503 Busy\r\nHornbeamlift-Not-Run: busy\r\nContent-Length: 0\r\n\r\n"), outcome{fault.EndpointBusy, fault.RanNo, true}, "", ""},
+		"unknown reason":          {reply("HTTP/1.1 503 Busy\r\nHornbeamlift-Not-Run: maybe\r\nContent-Length: 0\r\n\r\n"), failed, "", "status 503"},
+		"503 only":                {reply("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), failed, "", "status 503"},
+		"500 with reason":         {reply(failure + "Hornbeamlift-Not-Run: busy\r\n\r\nno\tfilm"), failed, "", "status 500: no film"},
+		"redirect":                {reply("HTTP/1.1 307 Moved\r\nLocation: /v1/tasks\r\nContent-Length: 0\r\n\r\n"), failed, "", "status 307"},
+		"long failure":            {reply("HTTP/1.1 500 No\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 9000)), failed, "", "status 500: " + strings.Repeat("x", 512)},
+		"long output":             {reply("HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n"), failed, "", "the output exceeds 4 MB"},
+		"long chunks":             {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n400001\r\n" + strings.Repeat("x", 4<<20+1)), failed, "", "the output exceeds 4 MB"},
+		"reset after the request": {func(int, net.Conn) bool { return false }, unknown, "", ""},
+		"cut output": {func(_ int, c net.Conn) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok")
+			return c.Close() == nil
+		}, unknown, "", ""},
+		"output without length": {func(_ int, c net.Conn) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nok")
+			return c.Close() == nil
+		}, unknown, "", "the output has no length"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, in := serveRaw(t, 8, c.answer)
+			got := <-start(t.Context(), newClient(t, endpoint.Settings{}), in, task(3, "in"))
+			is.Equal(outcomeOf(got), c.want)
+			is.Equal(string(got.Output), c.output)
+			if c.detail != "" {
+				is.Equal(got.Failure.Detail, c.detail)
+			}
+			is.Equal(len(server.seen()), 1) // sent exactly once
+			is.Equal(got.Endpoint, endpointID(in))
+			is.Equal(got.Incarnation, in.Incarnation)
+			is.Equal(got.Took > 0, !got.NotStarted)
+		})
+	}
+}
+
+// TestStartUnwritten guards against calls that are reported as unknown, and so
+// lost, although nothing of them was written.
+func TestStartUnwritten(t *testing.T) {
+	l := listen(t)
+	in := instanceAt(l, 8)
+	accepted := make(chan struct{})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	closed := listen(t)
+	closed.Close()
+	cancelled, cancel := context.WithCancel(t.Context())
+	cases := map[string]struct {
+		ctx      context.Context
+		in       work.Instance
+		dial     func(context.Context, string, string) (net.Conn, error)
+		deadline time.Time
+		want     outcome
+	}{
+		"refused connection": {t.Context(), instanceAt(closed, 8), nil, time.Time{}, unreached},
+		"reset before the request": {t.Context(), in, func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := new(net.Dialer).DialContext(ctx, network, address)
+			if err == nil {
+				c.Read(make([]byte, 1)) // returns once the reset has arrived
+			}
+			return c, err
+		}, time.Time{}, unreached},
+		"cancelled while dialling": {cancelled, in, func(ctx context.Context, _, _ string) (net.Conn, error) {
+			cancel()
+			<-accepted
+			return nil, ctx.Err()
+		}, time.Time{}, outcome{fault.Cancelled, fault.RanNo, true}},
+		"deadline passed": {t.Context(), in, nil, time.Unix(1, 0), outcome{fault.DeadlineExceeded, fault.RanNo, true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tk := task(0, "in")
+			tk.Deadline = c.deadline
+			got := <-start(c.ctx, newClient(t, endpoint.Settings{Dial: c.dial}), c.in, tk)
+			is.New(t).Equal(outcomeOf(got), c.want)
+		})
+	}
+	close(accepted)
+}
+
+// TestStartRefusals guards against refusals of a real endpoint that are taken
+// for failures, and against a cancelled task that is taken for not started.
+func TestStartRefusals(t *testing.T) {
+	is := is.New(t)
+	e, in := serveStandIn(t, standin.EndpointSettings{Slots: 1})
+	in.Slots = 2
+	clk := &manualClock{}
+	c := newClient(t, endpoint.Settings{Clock: clk})
+
+	got := <-start(t.Context(), c, in, task(0, `{"run-ms": 1, "echo": "x"}`))
+	is.Equal(string(got.Output), "x")
+
+	ctx, cancel := context.WithCancel(t.Context())
+	running := start(ctx, c, in, task(1, `{"run-ms": 3600000}`))
+	eventually(t, "task 1 runs", func() bool { return e.Busy() == 1 })
+	got = <-start(t.Context(), c, in, task(2, ""))
+	is.Equal(outcomeOf(got), outcome{fault.EndpointBusy, fault.RanNo, true})
+	status, err := c.Status(t.Context(), in)
+	is.NoErr(err)
+	is.Equal(status, endpoint.Status{Slots: 1, Busy: 1, Running: map[string]bool{endpoint.TaskName(task(1, "").ID): true}})
+	cancel()
+	is.Equal(outcomeOf(<-running), outcome{fault.Cancelled, fault.RanYes, false})
+	eventually(t, "the abort frees the slot", func() bool { return e.Busy() == 0 })
+
+	short := task(3, `{"run-ms": 3600000}`)
+	short.Deadline = time.Now().Add(time.Minute)
+	is.Equal(outcomeOf(<-start(t.Context(), c, in, short)), outcome{fault.DeadlineUnmeetable, fault.RanNo, true})
+	e.SetFailFast(true)
+	is.Equal(outcomeOf(<-start(t.Context(), c, in, task(4, ""))), failed)
+	e.SetDraining(true)
+	is.Equal(outcomeOf(<-start(t.Context(), c, in, task(5, ""))), outcome{fault.Draining, fault.RanNo, true})
+
+	is.Equal(len(e.Starts()), 3) // tasks 0, 1 and 4
+	is.Equal(e.Duplicates(), 0)
+	is.Equal(e.Aborted(), 1)
+	is.Equal(len(e.Completions()), 2)
+	s := c.Stats()
+	is.Equal([]uint64{s.Calls, s.Succeeded, s.Failed, s.Cancelled, s.Busy, s.Draining, s.NotStarted}, []uint64{6, 1, 1, 1, 1, 1, 1})
+}
+
+// TestStartNeverRepeats guards against the HTTP transport's own repetition of a
+// request when a kept connection is closed after the request was read.
+func TestStartNeverRepeats(t *testing.T) {
+	for name, body := range map[string]string{"with input": "in", "without input": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, in := serveRaw(t, 8, func(n int, c net.Conn) bool {
+				if n == 2 {
+					return c.Close() != nil
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				return true
+			})
+			c := newClient(t, endpoint.Settings{})
+			is.Equal(outcomeOf(<-start(t.Context(), c, in, task(0, body))), outcome{})
+			is.Equal(outcomeOf(<-start(t.Context(), c, in, task(1, body))), unknown)
+			is.Equal(c.Stats().Reused, uint64(1)) // otherwise nothing would repeat it
+			is.Equal(len(server.seen()), 2)
+		})
+	}
+}
+
+// TestStartTimeout guards against a silent connection that holds a call for
+// ever, and against its late answer being read by the next call.
+func TestStartTimeout(t *testing.T) {
+	is := is.New(t)
+	silent := make(chan struct{})
+	server, in := serveRaw(t, 1, func(n int, c net.Conn) bool {
+		if n == 1 {
+			<-silent
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"+string(rune('0'+n)))
+		return true
+	})
+	clk := &manualClock{}
+	c := newClient(t, endpoint.Settings{Clock: clk})
+	first := start(t.Context(), c, in, task(0, "in"))
+	eventually(t, "the request arrives", func() bool { return len(server.seen()) == 1 })
+
+	// The only connection is taken, so this call never gets one.
+	waiting := start(t.Context(), c, in, task(1, "in"))
+	eventually(t, "both limits are set", func() bool { return clk.pending() == 2 })
+	clk.fire()
+	is.Equal(outcomeOf(<-first), unknown)
+	is.Equal(outcomeOf(<-waiting), unreached)
+	close(silent)
+
+	second := <-start(t.Context(), c, in, task(2, "in"))
+	is.Equal(string(second.Output), "2")
+	seen := server.seen()
+	is.Equal(len(seen), 2)
+	is.True(seen[0] != seen[1]) // never reused
+}
+
+// TestStartGivenUp guards against a request that is written after its call was
+// reported as not started. Each call is cancelled as soon as it has a
+// connection, when the transport may or may not write it.
+func TestStartGivenUp(t *testing.T) {
+	is := is.New(t)
+	e, in := serveStandIn(t, standin.EndpointSettings{Slots: 8, RunTime: time.Millisecond})
+	c := newClient(t, endpoint.Settings{})
+	const calls = 400
+	notStarted := map[string]bool{}
+	for i := range calls {
+		ctx, cancel := context.WithCancel(t.Context())
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { go cancel() }})
+		tk := task(i, "in")
+		if r := <-start(ctx, c, in, tk); r.NotStarted {
+			notStarted[endpoint.TaskName(tk.ID)] = true
+		}
+		cancel()
+	}
+	c.Close()
+	eventually(t, "all connections end", func() bool { return e.OpenConnections() == 0 })
+	for name := range e.Starts() {
+		is.True(!notStarted[name])
+	}
+	t.Logf("%d of %d not started", len(notStarted), calls)
+}
--- /dev/null
+++ b/internal/adapter/endpoint/stats.go
@@ -0,0 +1,73 @@
+package endpoint
+
+import (
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+)
+
+// Stats counts what a client did.
+type Stats struct {
+	// Calls counts the finished calls of Start. Each is also in exactly one of
+	// the next seven counters.
+	Calls       uint64
+	Succeeded   uint64
+	Failed      uint64
+	Unknown     uint64
+	Cancelled   uint64
+	Busy        uint64
+	Draining    uint64
+	NotStarted  uint64
+	Reused      uint64
+	Dials       uint64
+	Retired     uint64
+	StatusCalls uint64
+	// DialFailures counts the dials that opened no connection.
+	DialFailures uint64
+	// StatusFailures counts the calls of Status that got no answer.
+	StatusFailures uint64
+	// Endpoints is the number of endpoints with a transport.
+	Endpoints int
+}
+
+// Stats returns a copy of the counters.
+func (c *Client) Stats() Stats {
+	c.mu.Lock()
+	s := c.stats
+	c.mu.Unlock()
+	s.Endpoints = c.pool.size()
+	return s
+}
+
+func (c *Client) count(change func(*Stats)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.stats)
+}
+
+// add counts a finished call.
+func (s *Stats) add(result work.Result, reused bool) {
+	s.Calls++
+	if reused {
+		s.Reused++
+	}
+	var kind fault.Kind
+	if result.Failure != nil {
+		kind = result.Failure.Kind
+	}
+	switch {
+	case kind == "":
+		s.Succeeded++
+	case kind == fault.EndpointBusy:
+		s.Busy++
+	case kind == fault.Draining:
+		s.Draining++
+	case kind == fault.Cancelled:
+		s.Cancelled++
+	case result.NotStarted:
+		s.NotStarted++
+	case kind == fault.EndpointFailed:
+		s.Failed++
+	default:
+		s.Unknown++
+	}
+}
--- /dev/null
+++ b/internal/adapter/endpoint/status.go
@@ -0,0 +1,75 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+)
+
+// Status is what an endpoint says about itself.
+type Status struct {
+	Slots    int
+	Busy     int
+	Draining bool
+	// Running holds the running tasks by TaskName.
+	Running map[string]bool
+}
+
+type statusBody struct {
+	Slots    int      `json:"slots"`
+	Busy     int      `json:"busy"`
+	Draining bool     `json:"draining"`
+	Running  []string `json:"running"`
+}
+
+// Status asks an endpoint over a new connection, so that the answer does not
+// depend on connections that may have gone silent. Calls to the same endpoint
+// wait for each other. The failure has kind fault.EndpointUnreachable.
+func (c *Client) Status(ctx context.Context, in work.Instance) (Status, error) {
+	c.count(func(s *Stats) { s.StatusCalls++ })
+	status, err := c.askStatus(ctx, in)
+	if err != nil {
+		c.count(func(s *Stats) { s.StatusFailures++ })
+		return Status{}, err
+	}
+	return status, nil
+}
+
+func (c *Client) askStatus(ctx context.Context, in work.Instance) (Status, error) {
+	limited, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := c.settings.Clock.AfterFunc(c.settings.StatusTimeout, func() { cancel(errLimit) })
+	defer timer.Stop()
+
+	req, err := http.NewRequestWithContext(limited, http.MethodGet, "http://"+in.Address+"/v1/status", nil)
+	if err != nil {
+		return Status{}, fault.Wrap(err, fault.EndpointUnreachable, fault.RanNo)
+	}
+	resp, err := c.status.RoundTrip(req)
+	if err != nil {
+		return Status{}, fault.Wrap(err, fault.EndpointUnreachable, fault.RanNo)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStatus))
+	if err != nil {
+		return Status{}, fault.Wrap(err, fault.EndpointUnreachable, fault.RanNo)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Status{}, fault.New(fault.EndpointUnreachable, fault.RanNo).
+			WithDetail("status " + strconv.Itoa(resp.StatusCode))
+	}
+	var body statusBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return Status{}, fault.Wrap(err, fault.EndpointUnreachable, fault.RanNo)
+	}
+	status := Status{Slots: body.Slots, Busy: body.Busy, Draining: body.Draining, Running: map[string]bool{}}
+	for _, task := range body.Running {
+		status.Running[task] = true
+	}
+	return status, nil
+}
