Add the configuration decisions and an example file

Instances and operators need one strict reading of the operators' file and one rule for which revision is in force. A misspelt key or an older revision that came late would otherwise change limits silently.

internal/decide/config parses the YAML file against the message descriptor and reports all faults with their paths, validates names, ranges, references and sums, numbers revisions, recognises an apply whose reply was lost, and holds the newest revision. The hash of a revision covers the parsed file, because the revision does not carry the operator's bytes and an instance could not check a hash of them.

--- /dev/null
+++ b/internal/decide/config/revision_test.go
@@ -0,0 +1,182 @@
+package config_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/config"
+	"hornbeamlift.example/hornbeamlift/internal/schema/configpb"
+)
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+func revisionFile(maxRunning uint32) *configpb.File {
+	return &configpb.File{Services: []*configpb.Service{{Name: "press", MaxRunning: maxRunning}}}
+}
+
+// TestHolderNeverReverts guards against a holder that goes back, takes content
+// that does not match its hash, or replaces a revision by another one of the
+// same number. The reference holder keeps every acceptable offer in a list.
+func TestHolderNeverReverts(t *testing.T) {
+	is.New(t).NoErr(flag.Set("rapid.seed", "20261204"))
+	is.New(t).NoErr(flag.Set("rapid.nofailfile", "true"))
+	rapid.Check(t, func(t *rapid.T) {
+		var h config.Holder
+		var accepted []*configpb.Revision
+		for range rapid.IntRange(1, 30).Draw(t, "offers") {
+			base := &configpb.Revision{Revision: rapid.Uint64Range(0, 6).Draw(t, "base")}
+			limit := rapid.Uint32Range(0, 2).Draw(t, "limit")
+			rev := config.Next(base, revisionFile(limit), "id-"+strconv.Itoa(int(limit)), "ana", epoch)
+			broken := rapid.SampledFrom([]string{"no", "no", "no", "sum", "rule"}).Draw(t, "broken")
+			switch broken {
+			case "sum":
+				rev.File.Services[0].MaxRunning += 7
+			case "rule":
+				rev.File.Services[0].ResponseWeight = math.NaN()
+				rev.Sha256 = config.Sum(rev.File)
+			}
+			newest := &configpb.Revision{}
+			for _, r := range accepted {
+				if r.GetRevision() > newest.GetRevision() {
+					newest = r
+				}
+			}
+			wantChanged := broken == "no" && rev.GetRevision() > newest.GetRevision()
+			wantErr := rev.GetRevision() >= newest.GetRevision() && broken != "no" ||
+				rev.GetRevision() == newest.GetRevision() && !proto.Equal(rev, newest)
+			changed, err := h.Offer(rev)
+			if changed != wantChanged || (err != nil) != wantErr {
+				t.Fatalf("offer %v over %v: changed %v, %v", rev, newest, changed, err)
+			}
+			if changed {
+				accepted = append(accepted, rev)
+				newest = rev
+			}
+			if !proto.Equal(h.Current(), newest) && len(accepted) > 0 {
+				t.Fatalf("holds %v instead of %v", h.Current(), newest)
+			}
+			if s := h.InForce(); s != nil && uint64(s.Revision()) != newest.GetRevision() {
+				t.Fatalf("snapshot of revision %v instead of %v", s.Revision(), newest.GetRevision())
+			}
+		}
+	})
+}
+
+// TestOffer guards against offers that are malformed as a whole, and against
+// fields of a newer schema that would be ignored.
+func TestOffer(t *testing.T) {
+	good := func() *configpb.Revision { return config.Next(nil, revisionFile(1), "id", "ana", epoch) }
+	cases := map[string]struct {
+		change func(*configpb.Revision)
+		field  string
+	}{
+		"number of zero": {func(r *configpb.Revision) { r.Revision = 0 }, "revision"},
+		"no file":        {func(r *configpb.Revision) { r.File = nil }, "file"},
+		"no hash":        {func(r *configpb.Revision) { r.Sha256 = "" }, "sha256"},
+		"not UTF-8":      {func(r *configpb.Revision) { r.Sha256, r.File.Services[0].Name = "", "\xff" }, "sha256"},
+		"unknown field": {func(r *configpb.Revision) {
+			r.File.Services[0].ProtoReflect().SetUnknown([]byte{0x98, 0x06, 0x01})
+			r.Sha256 = config.Sum(r.File)
+		}, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rev := good()
+			c.change(rev)
+			var h config.Holder
+			changed, err := h.Offer(rev)
+			is.True(!changed)
+			is.Equal(fault.KindOf(err), fault.ConfigInvalid)
+			is.Equal(fault.From(err).Field, c.field)
+			is.True(h.InForce() == nil)
+		})
+	}
+	var h config.Holder
+	rev := good()
+	_, err := h.Offer(rev)
+	is := is.New(t)
+	is.NoErr(err)
+	rev.File.Services[0].MaxRunning = 99 // the offer is copied
+	is.Equal(h.Current().GetFile().GetServices()[0].GetMaxRunning(), uint32(1))
+}
+
+// TestOutcome guards against an apply that is taken for lost although it took
+// effect before up to seven others, and against an empty id that matches.
+func TestOutcome(t *testing.T) {
+	is := is.New(t)
+	var rev *configpb.Revision
+	for i := range 9 {
+		rev = config.Next(rev, revisionFile(1), fmt.Sprint("apply-", i), "ana", epoch)
+	}
+	is.Equal(rev.GetRevision(), uint64(9))
+	is.True(config.Outcome(rev, "apply-8"))
+	is.True(config.Outcome(rev, "apply-1"))
+	is.True(!config.Outcome(rev, "apply-0")) // eight others came later
+	is.True(!config.Outcome(rev, ""))
+	is.True(!config.Outcome(nil, "apply-1"))
+}
+
+// TestSnapshot guards against defaults that are missed and against access that
+// is too wide or too narrow.
+func TestSnapshot(t *testing.T) {
+	is := is.New(t)
+	var h config.Holder
+	_, err := h.Offer(config.Next(nil, example(t), "id", "ana", epoch))
+	is.NoErr(err)
+	s := h.InForce()
+	is.Equal(s.Revision(), ident.Revision(1))
+	is.Equal(s.SHA256(), h.Current().GetSha256())
+	press, ok := s.Service("sheet-press")
+	is.True(ok)
+	is.Equal(press.ExpectedRunTime, 1500*time.Millisecond)
+	is.Equal(press.Objective, config.Objective{ResponseTime: 10 * time.Second, Share: 0.999})
+	shop, ok := s.Team("shop")
+	is.True(ok)
+	is.Equal(shop.FloorShare, 0.5)
+	is.NoErr(s.Allowed("shop", "sheet-render"))
+	is.Equal(fault.KindOf(s.Allowed("shop", "sheet-press")), fault.NotAllowed)
+	is.Equal(fault.KindOf(s.Allowed("shop", "none")), fault.UnknownService)
+	is.Equal(fault.KindOf(s.Allowed("none", "sheet-press")), fault.UnknownTeam)
+	is.True(s.MayRun("sheet-press", "penang-2"))
+	is.True(!s.MayRun("sheet-press", "pereira-1"))
+	is.True(!s.MayRun("none", "penang-2"))
+
+	var bare config.Holder
+	_, err = bare.Offer(config.Next(nil, revisionFile(0), "id", "ana", epoch))
+	is.NoErr(err)
+	press, _ = bare.InForce().Service("press")
+	is.Equal(press.MaxQueued, 10000)
+	is.Equal(press.ExpectedRunTime, 200*time.Millisecond)
+	is.True(bare.InForce().MayRun("press", "anywhere"))
+}
+
+func ExampleDiff() {
+	before := revisionFile(40)
+	after := revisionFile(48)
+	after.Services[0].DataCentres = []string{"penang-1", "penang-2"}
+	after.Teams = []*configpb.Team{{Name: "shop"}}
+	for _, line := range config.Diff(before, after) {
+		fmt.Println(line)
+	}
+	// Output:
+	// services[press].data-centres: unset -> [penang-1, penang-2]
+	// services[press].max-running: 40 -> 48
+	// teams[shop].name: unset -> "shop"
+}
+
+func ExampleConflict() {
+	winner := config.Next(nil, revisionFile(1), "id", "ana", epoch)
+	fmt.Println(config.Conflict(winner))
+	// Output: apply-conflict: operator "ana" applied revision 1 first; check it and apply again
+}
