--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -2,6 +2,8 @@
 // packages share.
 package ident
 
+import "strconv"
+
 // InstanceID names an entry instance, as its settings give it.
 type InstanceID string
 
@@ -41,3 +43,9 @@
 	Submission SubmissionID
 	Index      int
 }
+
+// String returns the task's name as endpoints see it: the submission id, a
+// slash and the index.
+func (t TaskID) String() string {
+	return t.Submission.String() + "/" + strconv.Itoa(t.Index)
+}
--- /dev/null
+++ b/internal/decide/instance/dispatch.go
@@ -0,0 +1,195 @@
+package instance
+
+import (
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
+)
+
+// stealTimeout is how long a steal without an answer keeps the next one back.
+const stealTimeout = time.Second
+
+// maxBatch bounds the tasks in one message to a peer.
+const maxBatch = 256
+
+// dispatch starts waiting tasks on free slots, sends more to peers with free
+// slots, and asks busy peers for tasks when slots stay free.
+func (c *Core) dispatch(now time.Time, sv *service) {
+	if !c.mayStart(now) {
+		return
+	}
+	for sv.queue.Len() > 0 && sv.pool.Free(now) > 0 {
+		t := sv.queue.Pop(c.allowed)
+		if t == nil || !c.start(now, sv, t) {
+			break
+		}
+	}
+	if sv.queue.Len() > 0 {
+		c.offload(now, sv)
+	} else {
+		c.steal(now, sv)
+	}
+	c.tell(now, sv)
+}
+
+// allowed reports whether the limits leave room for a task.
+func (c *Core) allowed(*work.Task) bool { return true }
+
+// start hands a task to the best free endpoint. It reports false when no
+// endpoint could take it; then the task waits again.
+func (c *Core) start(now time.Time, sv *service, t *work.Task) bool {
+	left := t.Deadline.Sub(now)
+	if left <= 0 {
+		c.settle(now, t, notRun(t, fault.DeadlineExceeded))
+		return true
+	}
+	choice, ok := sv.pool.Pick(now, t.Size)
+	if !ok {
+		sv.queue.PushFront(t)
+		return false
+	}
+	if c.isSelf(t.Home) && !c.table.HandOut(t.ID, t.Attempt, c.cfg.Self) {
+		sv.pool.Finish(now, ident.EndpointID(choice.Endpoint.ID), choice.Endpoint.Incarnation, cancelledOutcome)
+		return true
+	}
+	c.count.Starts++
+	c.call(now, sv, t, choice, false)
+	return true
+}
+
+// ownTask reports whether a task may be sent to a peer: only tasks homed here,
+// so that a task moves at most once.
+func (c *Core) ownTask(t *work.Task) bool { return c.isSelf(t.Home) }
+
+// offload sends waiting tasks to peers with free slots: first in the data
+// centre, then in others when the wait here is worth the way.
+func (c *Core) offload(now time.Time, sv *service) {
+	for p, ps := range sv.peers {
+		if ps.near && ps.load.Free > 0 && c.accepts(p) {
+			c.delegate(now, sv, p, ps, ps.load.Free)
+		}
+	}
+	if sv.queue.Len() == 0 || sv.wait(now, 0) < c.cfg.SpillAfter && sv.pool.Slots() > 0 {
+		return
+	}
+	snap := c.holder.InForce()
+	for p, ps := range sv.peers {
+		if ps.near || ps.load.Free == 0 || !c.accepts(p) || !snap.MayRun(sv.name, c.links[p].dataCentre) {
+			continue
+		}
+		n := sv.queue.Len()
+		c.delegate(now, sv, p, ps, ps.load.Free)
+		c.count.Spilled += uint64(n - sv.queue.Len())
+	}
+}
+
+// accepts reports whether a peer is linked and takes tasks.
+func (c *Core) accepts(p ident.Process) bool {
+	l := c.links[p]
+	return l != nil && !l.draining
+}
+
+// delegate sends up to n waiting tasks to a peer in one message.
+func (c *Core) delegate(now time.Time, sv *service, p ident.Process, ps *peerService, n int) {
+	var tasks []*work.Task
+	for len(tasks) < min(n, maxBatch) && sv.queue.Len() > 0 {
+		t := sv.queue.Pop(c.ownTask)
+		if t == nil {
+			break
+		}
+		tasks = append(tasks, t)
+	}
+	ps.load.Free -= len(tasks)
+	c.sendTasks(now, p, tasks)
+}
+
+// sendTasks hands tasks to a peer. Tasks that are final by now are left out.
+func (c *Core) sendTasks(now time.Time, p ident.Process, tasks []*work.Task) int {
+	var batch []*peerpb.Task
+	for _, t := range tasks {
+		if t.Deadline.After(now) && c.table.HandOut(t.ID, t.Attempt, p) {
+			batch = append(batch, taskMessage(now, t))
+		} else {
+			c.settle(now, t, notRun(t, fault.DeadlineExceeded))
+		}
+	}
+	if len(batch) > 0 {
+		c.count.Delegated += uint64(len(batch))
+		c.do(Send{To: p, Message: &peerpb.Message{Body: &peerpb.Message_Tasks{
+			Tasks: &peerpb.Tasks{Tasks: batch}}}})
+	}
+	return len(batch)
+}
+
+// steal asks the peer with the longest queue for tasks when slots are free
+// here and nothing waits.
+func (c *Core) steal(now time.Time, sv *service) {
+	free := sv.pool.Free(now)
+	if free == 0 || c.draining {
+		return
+	}
+	var from ident.Process
+	var most *peerService
+	for p, ps := range sv.peers {
+		if !ps.near || ps.load.Queued == 0 || now.Sub(ps.stealing) < stealTimeout {
+			continue
+		}
+		if most == nil || ps.load.Queued > most.load.Queued {
+			from, most = p, ps
+		}
+	}
+	if most == nil {
+		return
+	}
+	// Half of a long queue evens out the two; fewer steals are then needed.
+	n := min(maxBatch, most.load.Queued, max(free, most.load.Queued/2))
+	most.stealing = now
+	c.count.Steals++
+	c.do(Send{To: from, Message: &peerpb.Message{Body: &peerpb.Message_Steal{
+		Steal: &peerpb.Steal{Service: string(sv.name), Count: uint32(n)}}}})
+}
+
+// stolen answers a peer's steal, also when there is nothing to give, so that
+// the peer may ask again.
+func (c *Core) stolen(now time.Time, p ident.Process, m *peerpb.Steal) {
+	sv := c.services[ident.Service(m.Service)]
+	var own []*work.Task
+	if sv != nil {
+		for _, t := range sv.queue.Steal(int(min(m.Count, maxBatch))) {
+			switch {
+			case c.isSelf(t.Home):
+				own = append(own, t)
+			case t.Home == p:
+				c.giveBack(now, t, fault.EndpointBusy)
+			default:
+				sv.queue.PushFront(t)
+			}
+		}
+	}
+	if c.sendTasks(now, p, own) == 0 {
+		c.do(Send{To: p, Message: &peerpb.Message{Body: &peerpb.Message_Tasks{
+			Tasks: &peerpb.Tasks{Service: m.Service}}}})
+	}
+}
+
+// tell reports to the peers of the data centre that a queue has formed or is
+// gone, since they learn the rest from traffic and heartbeats.
+func (c *Core) tell(now time.Time, sv *service) {
+	n := sv.queue.Len()
+	if (n > 0) == (sv.told > 0) {
+		return
+	}
+	sv.told = n
+	if n == 0 {
+		return
+	}
+	for p, l := range c.links {
+		if l.dataCentre == c.cfg.DataCentre {
+			c.do(Send{To: p, Control: true, Message: &peerpb.Message{Body: &peerpb.Message_LoadReport{
+				LoadReport: &peerpb.LoadReport{Load: []*peerpb.Load{sv.load(now)}}}}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/instance/service.go
@@ -0,0 +1,181 @@
+package instance
+
+import (
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+	"hornbeamlift.example/hornbeamlift/internal/decide/config"
+	"hornbeamlift.example/hornbeamlift/internal/decide/endpoints"
+	"hornbeamlift.example/hornbeamlift/internal/decide/fairqueue"
+	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
+)
+
+// service is one service at this instance: the tasks that wait, the endpoints
+// owned, and what peers last reported.
+type service struct {
+	name  ident.Service
+	conf  config.Service
+	limit int
+	queue *fairqueue.Queue
+	pool  *endpoints.Pool
+	peers map[ident.Process]*peerService
+	// owned holds the endpoints of the pool.
+	owned map[ident.EndpointID]work.Instance
+	// told is the queue length that peers of the data centre last learned.
+	told int
+}
+
+// peerService is one service at a peer, as it last reported, corrected by what
+// was sent to it since.
+type peerService struct {
+	load work.Load
+	near bool
+	// stealing is when a steal was sent that has no answer yet.
+	stealing time.Time
+}
+
+// applyConfig adjusts the services to a new configuration. A service that was
+// removed keeps its queue until it is empty, but admits nothing new.
+func (c *Core) applyConfig(now time.Time, snap *config.Snapshot) {
+	for _, name := range snap.Services() {
+		conf, _ := snap.Service(name)
+		sv := c.services[name]
+		if sv == nil {
+			sv = &service{
+				name:  name,
+				queue: fairqueue.New(int(conf.MaxQueued)),
+				pool:  endpoints.NewPool(c.cfg.Endpoints, conf.ExpectedRunTime),
+				peers: map[ident.Process]*peerService{},
+			}
+			c.services[name] = sv
+		}
+		sv.conf, sv.limit = conf, int(conf.MaxQueued)
+		sv.queue.SetLimit(int(conf.MaxQueued))
+		sv.pool.SetExpected(conf.ExpectedRunTime)
+		for _, team := range snap.Teams() {
+			t, _ := snap.Team(team)
+			sv.queue.SetWeight(team, int(t.Weight))
+		}
+	}
+	c.own(now)
+}
+
+// own gives each pool the endpoints that this instance owns now.
+func (c *Core) own(now time.Time) {
+	snap := c.holder.InForce()
+	if snap == nil {
+		return
+	}
+	for _, sv := range c.services {
+		var owned []work.Instance
+		if snap.MayRun(sv.name, c.cfg.DataCentre) {
+			owned = c.members.Owned(sv.name)
+		}
+		sv.pool.SetOwned(now, owned)
+		c.askNew(sv, owned)
+		c.dispatch(now, sv)
+	}
+}
+
+// askNew asks the endpoints that this instance has just come to own for their
+// state: another owner's tasks may still run there.
+func (c *Core) askNew(sv *service, owned []work.Instance) {
+	before := sv.owned
+	sv.owned = make(map[ident.EndpointID]work.Instance, len(owned))
+	for _, row := range owned {
+		id := ident.EndpointID(row.ID)
+		if in, ok := before[id]; !ok || in.Incarnation != row.Incarnation {
+			c.do(AskStatus{Endpoint: row})
+		}
+		sv.owned[id] = row
+	}
+}
+
+// askDraining asks the owned endpoints that said they drain, since one may go
+// back to work without a new incarnation.
+func (c *Core) askDraining(sv *service) {
+	for _, h := range sv.pool.Health() {
+		if row, ok := sv.owned[h.ID]; ok && h.State == endpoints.StateLeaving && !row.Leaving {
+			c.do(AskStatus{Endpoint: row})
+		}
+	}
+}
+
+// placeable reports whether some allowed data centre lists a live endpoint.
+func (c *Core) placeable(sv *service) bool {
+	snap := c.holder.InForce()
+	for _, row := range c.members.List() {
+		if row.Kind == work.KindEndpoint && row.Service == sv.name && !row.Leaving &&
+			snap.MayRun(sv.name, row.DataCentre) {
+			return true
+		}
+	}
+	return false
+}
+
+// wait estimates the wait of a new task behind extra others. Peers of the data
+// centre take waiting tasks as soon as they have free slots, so their queues
+// and slots count as one with ours.
+func (s *service) wait(now time.Time, extra int) time.Duration {
+	slots, queued, free := s.pool.Slots(), s.queue.Len()+extra, s.pool.Free(now)
+	for _, p := range s.peers {
+		if p.near {
+			slots += p.load.Slots
+			queued += p.load.Queued
+			free += p.load.Free
+		}
+	}
+	if queued < free || slots == 0 {
+		return 0
+	}
+	return s.pool.Estimate(0) * time.Duration(queued-free+1) / time.Duration(slots)
+}
+
+// load describes the service to peers.
+func (s *service) load(now time.Time) *peerpb.Load {
+	return &peerpb.Load{
+		Service:   string(s.name),
+		FreeSlots: uint32(max(0, s.pool.Free(now)-s.queue.Len())),
+		Queued:    uint32(s.queue.Len()),
+		WaitMs:    uint32(s.wait(now, 0).Milliseconds()),
+		Slots:     uint32(s.pool.Slots()),
+	}
+}
+
+// Loads describes all services to peers.
+func (c *Core) Loads(now time.Time) []*peerpb.Load {
+	loads := make([]*peerpb.Load, 0, len(c.services))
+	for _, sv := range c.services {
+		loads = append(loads, sv.load(now))
+	}
+	return loads
+}
+
+// peerLoad takes a peer's report and acts on it: a peer with a queue may have
+// tasks for our free slots, and a peer with free slots may take ours.
+func (c *Core) peerLoad(now time.Time, p ident.Process, loads []*peerpb.Load) {
+	l := c.links[p]
+	if l == nil {
+		return
+	}
+	for _, in := range loads {
+		sv := c.services[ident.Service(in.Service)]
+		if sv == nil {
+			continue
+		}
+		ps := sv.peers[p]
+		if ps == nil {
+			ps = &peerService{near: l.dataCentre == c.cfg.DataCentre}
+			sv.peers[p] = ps
+		}
+		ps.load = work.Load{
+			Service: sv.name,
+			Slots:   int(in.Slots),
+			Free:    int(in.FreeSlots),
+			Queued:  int(in.Queued),
+			Wait:    time.Duration(in.WaitMs) * time.Millisecond,
+		}
+		c.dispatch(now, sv)
+	}
+}
--- a/internal/decide/submission/entry.go
+++ b/internal/decide/submission/entry.go
@@ -26,8 +26,10 @@
 	phase    phase
 	attempt  ident.Attempt
 	executor ident.Process
-	output   []byte
-	failure  *fault.Error
+	// mayHaveRun is true when an earlier attempt had an unknown outcome.
+	mayHaveRun bool
+	output     []byte
+	failure    *fault.Error
 }
 
 // Entry is the home's record of one submission.
--- a/internal/decide/submission/table.go
+++ b/internal/decide/submission/table.go
@@ -28,18 +28,19 @@
 	MaxRetained int
 }
 
-// Defaults fills the fields that are zero.
-func (c *Config) Defaults() {
+// Defaults returns c with its zero fields set to their defaults.
+func (c Config) Defaults() Config {
 	if c.Retention == 0 {
 		c.Retention = 10 * time.Minute
 	}
 	if c.MaxRetained == 0 {
 		c.MaxRetained = 64 << 20
 	}
+	return c
 }
 
 // Validate reports the first field out of range.
-func (c *Config) Validate() error {
+func (c Config) Validate() error {
 	bad := fault.New(fault.SettingsInvalid, fault.RanNo)
 	switch {
 	case !ident.ValidName(string(c.Self.Instance)):
@@ -73,7 +74,7 @@
 
 // NewTable returns an empty table.
 func NewTable(cfg Config) *Table {
-	cfg.Defaults()
+	cfg = cfg.Defaults()
 	return &Table{
 		cfg: cfg,
 		issuer: issuer{
@@ -196,10 +197,15 @@
 // Repeat gives up on an attempt of unknown outcome and returns the next one.
 // It returns nil for submissions that are not repeatable.
 func (t *Table) Repeat(now time.Time, id ident.TaskID, attempt ident.Attempt) *work.Task {
-	if e, _ := t.current(id, attempt); e == nil || !e.repeatable {
+	e, k := t.current(id, attempt)
+	if e == nil || !e.repeatable {
 		return nil
 	}
-	return t.again(now, id, attempt)
+	next := t.again(now, id, attempt)
+	if next != nil {
+		k.mayHaveRun = true
+	}
+	return next
 }
 
 func (t *Table) again(now time.Time, id ident.TaskID, attempt ident.Attempt) *work.Task {
@@ -232,6 +238,9 @@
 	k.phase, k.output = succeeded, r.Output
 	if r.Failure != nil {
 		k.phase, k.output, k.failure = failed, nil, r.Failure
+		if k.mayHaveRun && r.Failure.Ran == fault.RanNo {
+			k.failure = fault.New(r.Failure.Kind, fault.RanUnknown).WithDetail(r.Failure.Detail)
+		}
 	}
 	e.open--
 	if e.open > 0 {
