--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,171 @@
+// Package settings turns the schema of a process's settings into command-line
+// flags and environment variables, and reads them back.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/schema/settingspb"
+)
+
+// envPrefix begins the name of each environment variable.
+const envPrefix = "HORNBEAMLIFT_"
+
+// Invalid lists every fault of the settings. Each has kind
+// fault.SettingsInvalid, ran no, and the flag's name as its field.
+type Invalid struct {
+	Faults []*fault.Error
+}
+
+// Error returns the faults, one per line.
+func (e *Invalid) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults, so that fault.KindOf finds the kind.
+func (e *Invalid) Unwrap() []error {
+	errs := make([]error, len(e.Faults))
+	for i, f := range e.Faults {
+		errs[i] = f
+	}
+	return errs
+}
+
+// Flags returns one flag for each field of the message. Every flag takes text,
+// and Read checks it, so that all faults are reported together.
+func Flags(msg proto.Message) []cli.Flag {
+	fields := msg.ProtoReflect().Descriptor().Fields()
+	flags := make([]cli.Flag, fields.Len())
+	for i := range flags {
+		fd := fields.Get(i)
+		s := settingOf(fd)
+		name := flagName(fd)
+		sources := cli.EnvVars(envPrefix + strings.ToUpper(string(fd.Name())))
+		usage := s.GetUsage()
+		if s.GetRequired() {
+			usage += " Required."
+		}
+		if fd.IsList() {
+			flags[i] = &cli.StringSliceFlag{Name: name, Usage: usage, Sources: sources}
+			continue
+		}
+		flags[i] = &cli.StringFlag{Name: name, Usage: usage, Sources: sources, Value: s.GetValue()}
+	}
+	return flags
+}
+
+// Read fills the message from the flags that Flags returned. Its failure is an
+// *Invalid with every fault found.
+func Read(cmd *cli.Command, msg proto.Message) error {
+	var found []*fault.Error
+	m := msg.ProtoReflect()
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		s := settingOf(fd)
+		values := []string{cmd.String(flagName(fd))}
+		if fd.IsList() {
+			values = cmd.StringSlice(flagName(fd))
+		}
+		for _, text := range values {
+			value, detail := parse(fd, s, text)
+			switch {
+			case detail != "":
+				found = append(found, invalid(fd, detail))
+			case fd.IsList():
+				m.Mutable(fd).List().Append(value)
+			default:
+				m.Set(fd, value)
+			}
+		}
+	}
+	if len(found) > 0 {
+		return &Invalid{Faults: found}
+	}
+	return nil
+}
+
+// parse returns the value of one flag, or what is wrong with it.
+func parse(fd protoreflect.FieldDescriptor, s *settingspb.Setting, text string) (value protoreflect.Value, detail string) {
+	if text == "" && !fd.IsList() {
+		if s.GetRequired() {
+			return value, "is required"
+		}
+		return fd.Default(), ""
+	}
+	if detail := check(fd, s, text); detail != "" {
+		return value, detail
+	}
+	switch fd.Kind() {
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString(text), ""
+	case protoreflect.Uint32Kind:
+		n, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			return value, strconv.Quote(text) + " is not a whole number of at least 0"
+		}
+		return protoreflect.ValueOfUint32(uint32(n)), ""
+	case protoreflect.BoolKind:
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return value, strconv.Quote(text) + " is neither true nor false"
+		}
+		return protoreflect.ValueOfBool(b), ""
+	default:
+		return value, "has a type that this version does not read"
+	}
+}
+
+// check applies the rules of the field's kind and of names.
+func check(fd protoreflect.FieldDescriptor, s *settingspb.Setting, text string) string {
+	if (fd.Name() == "instance" || fd.Name() == "data_centre") && !ident.ValidName(text) {
+		return strconv.Quote(text) + " is not a name of 1 to 64 characters out of a-z, 0-9 and inner hyphens"
+	}
+	switch s.GetKind() {
+	case "address":
+		if _, err := netip.ParseAddrPort(text); err != nil {
+			return strconv.Quote(text) + ` is not an address of the form "IP:port"`
+		}
+	case "duration":
+		if d, err := time.ParseDuration(text); err != nil || d <= 0 {
+			return strconv.Quote(text) + ` is not a duration above 0 with a unit, such as "30s"`
+		}
+	case "file":
+		f, err := os.Open(text)
+		if err != nil {
+			return "cannot be read: " + err.Error()
+		}
+		defer f.Close()
+		if info, err := f.Stat(); err != nil || !info.Mode().IsRegular() {
+			return strconv.Quote(text) + " is not a regular file"
+		}
+	}
+	return ""
+}
+
+func settingOf(fd protoreflect.FieldDescriptor) *settingspb.Setting {
+	s, _ := proto.GetExtension(fd.Options(), settingspb.E_Setting).(*settingspb.Setting)
+	return s
+}
+
+func flagName(fd protoreflect.FieldDescriptor) string {
+	return strings.ReplaceAll(string(fd.Name()), "_", "-")
+}
+
+func invalid(fd protoreflect.FieldDescriptor, detail string) *fault.Error {
+	return fault.New(fault.SettingsInvalid, fault.RanNo).WithField("--" + flagName(fd)).WithDetail(detail)
+}
