--- /dev/null
+++ b/internal/adapter/platform/client_test.go
@@ -0,0 +1,292 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/platform"
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+)
+
+// TestCompareAndSwap guards against writes that overwrite another one, and
+// against conflicts that lose the current revision.
+func TestCompareAndSwap(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	_, address := serveStore(t, nil)
+	c := newClient(t, address, nil)
+
+	v, err := c.Get(ctx, "granter/penang-1")
+	is.NoErr(err)
+	is.Equal(v.Revision, uint64(0)) // absent
+	first, err := c.Put(ctx, "granter/penang-1", []byte("a"), 0, "")
+	is.NoErr(err)
+	var conflict *platform.ConflictError
+	_, err = c.Put(ctx, "granter/penang-1", []byte("b"), 0, "")
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Revision, first)
+	is.Equal(fault.KindOf(err), fault.StoreConflict)
+	second, err := c.Put(ctx, "granter/penang-1", nil, first, "")
+	is.NoErr(err)
+	is.True(second > first)
+	v, err = c.Get(ctx, "granter/penang-1")
+	is.NoErr(err)
+	is.Equal(v, platform.Value{Data: []byte{}, Revision: second})
+	is.Equal(fault.KindOf(c.Delete(ctx, "granter/penang-1", first)), fault.StoreConflict)
+	is.NoErr(c.Delete(ctx, "granter/penang-1", second))
+	_, err = c.Put(ctx, "large", make([]byte, 1<<20+1), 0, "")
+	is.Equal(fault.KindOf(err), fault.TooLarge)
+	s := c.Stats()
+	is.Equal(s.Calls, map[string]uint64{"get": 2, "put": 4, "delete": 2})
+	is.Equal(s.Conflicts, uint64(2))
+}
+
+// TestFailures guards against a write that is reported as not made although
+// the platform may have made it.
+func TestFailures(t *testing.T) {
+	status := func(code int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+	}
+	cases := map[string]struct {
+		handler  http.HandlerFunc
+		get, put fault.Kind
+		refuse   bool
+	}{
+		"refused connection": {nil, fault.StoreUnavailable, fault.StoreUnavailable, true},
+		"cut connection": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			fault.StoreUnavailable, fault.StoreUnknown, false},
+		"unavailable":      {status(503), fault.StoreUnavailable, fault.StoreUnavailable, false},
+		"gateway":          {status(502), fault.StoreUnavailable, fault.StoreUnknown, false},
+		"too many":         {status(429), fault.StoreUnavailable, fault.StoreUnavailable, false},
+		"bad request":      {status(400), fault.BadField, fault.BadField, false},
+		"missing revision": {status(200), fault.Internal, fault.StoreUnknown, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			if c.refuse {
+				server.Close()
+			}
+			client := newClient(t, server.Listener.Addr().String(), nil)
+			_, err := client.Get(t.Context(), "k")
+			is.Equal(fault.KindOf(err), c.get)
+			_, err = client.Put(t.Context(), "k", []byte("a"), 0, "")
+			is.Equal(fault.KindOf(err), c.put)
+			is.Equal(fault.From(err).Ran == fault.RanUnknown, c.put == fault.StoreUnknown)
+		})
+	}
+}
+
+// TestCallTimeout guards against a call that a silent platform holds for ever,
+// and against a caller's own cancellation that opens the breaker.
+func TestCallTimeout(t *testing.T) {
+	is := is.New(t)
+	clk := newManualClock()
+	store, address := serveStore(t, clk)
+	c := newClient(t, address, clk)
+	store.SetDelay(time.Hour)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	put := func(key string) {
+		_, err := c.Put(ctx, key, []byte("a"), 0, "")
+		done <- err
+	}
+	go put("a")
+	eventually(t, "the write is made", func() bool { return store.Calls()["put"] == 1 })
+	clk.advance(time.Minute)
+	is.Equal(fault.KindOf(<-done), fault.StoreUnknown)
+	is.Equal(c.Stats().Failures, uint64(1))
+	go put("b")
+	eventually(t, "the write is made", func() bool { return store.Calls()["put"] == 2 })
+	cancel()
+	is.Equal(fault.KindOf(<-done), fault.StoreUnknown)
+	is.Equal(c.Stats().Failures, uint64(1))
+	is.Equal(c.Stats().Abandoned, uint64(1))
+}
+
+// TestBreaker guards against an instance that keeps calling a platform in an
+// outage, and against one that never calls again.
+func TestBreaker(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	clk := newManualClock()
+	store, address := serveStore(t, clk)
+	c := newClient(t, address, clk)
+	get := func() error {
+		_, err := c.Get(ctx, "k")
+		return err
+	}
+	store.SetDown(true)
+	for range 8 {
+		is.Equal(fault.KindOf(get()), fault.StoreUnavailable)
+	}
+	is.Equal(store.Calls()["get"], 5)
+	is.Equal(c.Stats().Breaker, platform.BreakerOpen)
+	store.SetDown(false)
+	clk.advance(10 * time.Second)
+	is.NoErr(get())
+	is.Equal(c.Stats().Breaker, platform.BreakerClosed)
+	for range 19 {
+		is.NoErr(get())
+	}
+	is.Equal(fault.KindOf(get()), fault.BudgetExhausted)
+	is.Equal(c.Stats().Unbudgeted, uint64(1))
+	is.Equal(c.Stats().Blocked, uint64(3))
+}
+
+// TestWatch guards against a watch that misses a change or a deletion, and
+// against one that returns when nothing changed.
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	clk := newManualClock()
+	store, address := serveStore(t, clk)
+	c := newClient(t, address, clk)
+	type change struct {
+		value platform.Value
+		err   error
+	}
+	done := make(chan change)
+	watches := 0
+	watch := func(after uint64) {
+		watches++
+		go func() {
+			v, err := c.Watch(ctx, "k", after, time.Minute)
+			done <- change{v, err}
+		}()
+		eventually(t, "the watch waits", func() bool { return store.Calls()["watch"] == watches })
+	}
+
+	watch(0)
+	_, err := c.Put(ctx, "other", []byte("x"), 0, "")
+	is.NoErr(err)
+	first, err := c.Put(ctx, "k", []byte("a"), 0, "")
+	is.NoErr(err)
+	is.Equal(<-done, change{platform.Value{Data: []byte("a"), Revision: first}, nil})
+	watch(first)
+	is.NoErr(c.Delete(ctx, "k", first))
+	is.Equal(<-done, change{}) // absent
+	watch(0)
+	eventually(t, "the watch ends at its own time", func() bool {
+		clk.advance(time.Minute)
+		select {
+		case got := <-done:
+			is.Equal(got, change{})
+			return true
+		default:
+			return false
+		}
+	})
+	watch(0)
+	store.SetDown(true)
+	is.Equal(fault.KindOf((<-done).err), fault.StoreUnavailable)
+	is.Equal(c.Stats().Calls["watch"], uint64(4)) // one call each
+}
+
+// TestLease guards against keys that outlive their lease, and against a holder
+// that believes in its lease for longer than the store.
+func TestLease(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	clk := newManualClock()
+	_, address := serveStore(t, clk)
+	c := newClient(t, address, clk)
+	began := clk.Now()
+	lease, err := c.GrantLease(ctx, 30*time.Second)
+	is.NoErr(err)
+	is.Equal(lease.Ends, began.Add(30*time.Second))
+	revision, err := c.Put(ctx, "granter/penang-1", []byte("a"), 0, lease.ID)
+	is.NoErr(err)
+	clk.advance(20 * time.Second)
+	lease, err = c.KeepLease(ctx, lease)
+	is.NoErr(err)
+	is.Equal(lease.Ends, began.Add(50*time.Second))
+	clk.advance(29 * time.Second)
+	v, err := c.Get(ctx, "granter/penang-1")
+	is.NoErr(err)
+	is.Equal(v.Revision, revision)
+	clk.advance(time.Second)
+	v, err = c.Get(ctx, "granter/penang-1")
+	is.NoErr(err)
+	is.Equal(v.Revision, uint64(0))
+	_, err = c.KeepLease(ctx, lease)
+	is.Equal(fault.KindOf(err), fault.NotFound)
+	_, err = c.Put(ctx, "granter/penang-1", []byte("a"), 0, lease.ID)
+	is.Equal(fault.KindOf(err), fault.NotFound)
+
+	lease, err = c.GrantLease(ctx, time.Second)
+	is.NoErr(err)
+	_, err = c.Put(ctx, "granter/penang-1", []byte("b"), 0, lease.ID)
+	is.NoErr(err)
+	is.NoErr(c.RevokeLease(ctx, lease.ID))
+	v, err = c.Get(ctx, "granter/penang-1")
+	is.NoErr(err)
+	is.Equal(v.Revision, uint64(0))
+}
+
+// TestInstances guards against rows that are read differently from how they
+// were written, and against a list that does not lag.
+func TestInstances(t *testing.T) {
+	is := is.New(t)
+	clk := newManualClock()
+	store, address := serveStore(t, clk)
+	store.SetListLag(3 * time.Second)
+	c := newClient(t, address, clk)
+	list := []work.Instance{
+		{ID: "entry-1", Kind: work.KindEntry, DataCentre: "penang-1", Address: "127.0.0.1:1", Incarnation: 1<<64 - 1},
+		{ID: "worker-1", Kind: work.KindEndpoint, Leaving: true, Service: "render", Slots: 8, Connections: 64},
+	}
+	store.SetInstances(list)
+	got, err := c.Instances(t.Context())
+	is.NoErr(err)
+	is.Equal(got, list)
+	store.SetInstances(list[:1])
+	clk.advance(2 * time.Second)
+	got, err = c.Instances(t.Context())
+	is.NoErr(err)
+	is.Equal(len(got), 2)
+	clk.advance(time.Second)
+	got, err = c.Instances(t.Context())
+	is.NoErr(err)
+	is.Equal(got, list[:1])
+	_, err = platform.DecodeInstances([]byte(`[{"id":"x","kind":"entry","incarnation":"1","state":"gone"}]`))
+	is.Equal(fault.From(err).Field, "instances[0].state")
+}
+
+// TestReadNotRepeated guards against the HTTP transport's own repetition of a
+// read on a kept connection, which would bypass the budget.
+func TestReadNotRepeated(t *testing.T) {
+	is := is.New(t)
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		io.Copy(io.Discard, r.Body)
+		if calls > 1 {
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+			return
+		}
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	c := newClient(t, server.Listener.Addr().String(), nil)
+	_, err := c.Get(t.Context(), "k")
+	is.NoErr(err)
+	_, err = c.Get(t.Context(), "k")
+	is.Equal(fault.KindOf(err), fault.StoreUnavailable)
+	server.Close()
+	is.Equal(calls, 2)
+}
