Test ejection after a long time, load figures and validation

Change: a case that ejects the same endpoint 70 s later; tests of Slots, Wait, Estimate, P95, PickOther, SetExpected and Validate; the empty block is gone.

--- a/internal/decide/endpoints/pool_test.go
+++ b/internal/decide/endpoints/pool_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/endpoints"
@@ -123,6 +124,29 @@
 			is.True(f.failed[bad] <= 10)
 			is.Equal(f.health(bad).State, endpoints.StateEjected)
 		},
+		"fails again after a long time": func(is *is.I, f *fleet) {
+			fails := true
+			f.outcome = func(id string, took time.Duration) endpoints.Outcome {
+				if id == bad && fails {
+					return endpoints.Outcome{Kind: endpoints.Failed, Took: took}
+				}
+				return endpoints.Outcome{Took: took}
+			}
+			for f.health(bad).State != endpoints.StateEjected {
+				f.saturate(1)
+			}
+			is.Equal(f.health(bad).Until, f.now.Add(5*time.Second))
+			fails = false
+			for end := f.now.Add(70 * time.Second); f.now.Before(end); {
+				f.saturate(1)
+			}
+			is.Equal(f.health(bad).State, endpoints.StateHealthy)
+			fails = true
+			for f.health(bad).State != endpoints.StateEjected {
+				f.saturate(1)
+			}
+			is.Equal(f.health(bad).Until, f.now.Add(5*time.Second))
+		},
 		"fails some fast": func(is *is.I, f *fleet) {
 			f.outcome = func(id string, took time.Duration) endpoints.Outcome {
 				if id == bad && f.started[id]%3 == 0 {
@@ -171,8 +195,8 @@
 		"one long task": func(is *is.I, f *fleet) {
 			f.saturate(400)
 			speed := f.health(bad).Speed
-			_, ok := f.pool.Pick(f.now, 0)
-			for ; ok; _, ok = f.pool.Pick(f.now, 0) {
+			for f.pool.Free(f.now) > 0 {
+				f.pool.Pick(f.now, 0)
 			}
 			f.pool.Finish(f.now, bad, 1, endpoints.Outcome{Took: 50 * time.Second})
 			is.True(f.health(bad).Speed > speed/2)
@@ -269,6 +293,56 @@
 	is.Equal(fresh.NextChange(epoch), epoch.Add(50*time.Millisecond))
 }
 
+// TestLoad guards against waits and estimates that peers cannot compare.
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	is.Equal(f.pool.Slots(), 4)
+	is.Equal(f.pool.Wait(3), time.Duration(0)) // the fourth task has a slot
+	is.Equal(f.pool.Wait(11), time.Second)     // two rounds of four tasks of 500 ms
+	is.Equal(f.pool.Estimate(0), 500*time.Millisecond)
+	is.Equal(f.pool.P95(), 1500*time.Millisecond)
+	c, ok := f.pool.Pick(f.now, 0)
+	is.True(ok)
+	is.Equal(c.Estimate, 500*time.Millisecond)
+	is.Equal(c.Progress, 1500*time.Millisecond)
+	other, ok := f.pool.PickOther(f.now, 0, ident.EndpointID(c.Endpoint.ID))
+	is.True(ok)
+	is.True(other.Endpoint.ID != c.Endpoint.ID)
+	f.pool.SetExpected(100 * time.Millisecond)
+	is.Equal(f.pool.Estimate(0), 100*time.Millisecond)
+	f.pool.SetOwned(f.now, nil)
+	is.Equal(f.pool.Slots(), 0)
+	is.Equal(f.pool.Wait(0), time.Minute) // no slot is known to come
+	is.Equal(len(f.pool.Health()), 2)     // with the two running tasks
+}
+
+// TestConfigValidate guards against thresholds that the pool cannot work with.
+func TestConfigValidate(t *testing.T) {
+	cases := map[string]struct {
+		change func(*endpoints.Config)
+		field  string
+	}{
+		"defaults":        {func(*endpoints.Config) {}, ""},
+		"wide window":     {func(c *endpoints.Config) { c.Window = 65 }, "endpoints.window"},
+		"no straggler":    {func(c *endpoints.Config) { c.StragglerSpeed = 0 }, "endpoints.straggler-speed"},
+		"share no number": {func(c *endpoints.Config) { c.EjectedShare = math.NaN() }, "endpoints.ejected-share"},
+		"max below min":   {func(c *endpoints.Config) { c.EjectionMax = 1 }, "endpoints.ejection-max"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cfg := endpoints.Defaults()
+			c.change(&cfg)
+			err := cfg.Validate()
+			is.Equal(err == nil, c.field == "")
+			if err != nil {
+				is.Equal(fault.From(err).Field, c.field)
+			}
+		})
+	}
+}
+
 // TestDeclaredSizes guards against estimates that follow declared sizes which
 // say nothing, and against ones that ignore sizes which do.
 func TestDeclaredSizes(t *testing.T) {
