Run an entry instance and a small fleet on loopback

Cause: the decisions and adapters had no process around them. Change: process/entry connects them with one control loop; standin/fleet starts real instances with the stand-in store and endpoints in one process. An instance is ready, and admits, only once it knows the configuration and the platform's list. Found by TestJob: an instance that had the configuration but not yet the list refused work as unplaceable; it now refuses as not ready, with a time to retry.

--- a/internal/decide/instance/core.go
+++ b/internal/decide/instance/core.go
@@ -208,6 +208,12 @@
 	c.do(Send{To: ref.Peer, Message: forwardReply(ref.Request, a, f)})
 }
 
+// Ready reports whether new submissions can be admitted: the configuration and
+// the platform's list are known, and the instance is not leaving.
+func (c *Core) Ready() bool {
+	return c.holder.InForce() != nil && c.members.ListVersion() > 0 && !c.draining && !c.replaced
+}
+
 // NextIDs returns ids for callers' next submissions.
 func (c *Core) NextIDs(now time.Time, n int) []ident.SubmissionID {
 	if c.draining || c.replaced {
--- a/internal/decide/instance/submit.go
+++ b/internal/decide/instance/submit.go
@@ -211,7 +211,7 @@
 	switch {
 	case c.draining || c.replaced:
 		return no(fault.Draining).WithRetryAfter(retryAfter)
-	case snap == nil:
+	case !c.Ready():
 		return no(fault.ConfigMissing).WithRetryAfter(retryAfter)
 	}
 	if err := snap.Allowed(s.Team, s.Service); err != nil {
--- /dev/null
+++ b/internal/process/entry/loop.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/endpoint"
+	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+	"hornbeamlift.example/hornbeamlift/internal/decide/instance"
+)
+
+// idStock is the number of ids kept for the header Hornbeamlift-Next-Id, and
+// idAge the age at which unused ones are replaced, well below the retention.
+const (
+	idStock = 64
+	idAge   = time.Minute
+)
+
+// request is a caller's request that expects a reply.
+type request struct {
+	event func(instance.Ref) instance.Event
+	reply chan<- instance.Reply
+}
+
+// ask passes a caller's request to the loop and waits for the reply.
+func (p *Process) ask(ctx context.Context, event func(instance.Ref) instance.Event) (instance.Reply, error) {
+	// The buffer lets the loop go on when the caller has left.
+	reply := make(chan instance.Reply, 1)
+	gone := fault.New(fault.Cancelled, fault.RanUnknown).WithDetail("the caller's request ended")
+	select {
+	case p.requests <- request{event: event, reply: reply}:
+	case <-ctx.Done():
+		return instance.Reply{}, gone
+	case <-p.callContext.Done():
+		return instance.Reply{}, fault.New(fault.Draining, fault.RanUnknown)
+	}
+	select {
+	case r := <-reply:
+		if r.Failure != nil {
+			return r, r.Failure
+		}
+		return r, nil
+	case <-ctx.Done():
+		return instance.Reply{}, gone
+	case <-p.callContext.Done():
+		return instance.Reply{}, fault.New(fault.Draining, fault.RanUnknown)
+	}
+}
+
+// loop owns the control state.
+func (p *Process) loop(ctx context.Context) error {
+	ticker := p.cfg.Clock.NewTicker(instance.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C():
+			p.handle(instance.Tick{})
+			p.maintain(p.cfg.Clock.Now())
+		case ev := <-p.events:
+			if f, ok := ev.(instance.Finished); ok {
+				delete(p.calls, f.Call)
+			}
+			p.handle(ev)
+		case r := <-p.requests:
+			p.nextRequest++
+			p.replies[p.nextRequest] = r.reply
+			p.handle(r.event(instance.Ref{Request: p.nextRequest}))
+		}
+	}
+}
+
+// handle passes an event to the core and carries out what it decides. Messages
+// that no link took go back to the core at once.
+func (p *Process) handle(ev instance.Event) {
+	defer p.publishLoad()
+	pending := []instance.Event{ev}
+	for len(pending) > 0 {
+		ev, pending = pending[0], pending[1:]
+		for _, a := range p.core.Handle(p.cfg.Clock.Now(), ev) {
+			if undelivered := p.act(a); undelivered != nil {
+				pending = append(pending, *undelivered)
+			}
+		}
+	}
+}
+
+// act carries out one action.
+func (p *Process) act(a instance.Action) *instance.Undelivered {
+	switch a := a.(type) {
+	case instance.Reply:
+		if reply := p.replies[a.Request]; reply != nil {
+			delete(p.replies, a.Request)
+			reply <- a
+		}
+	case instance.Send:
+		if !p.mesh.Send(a.To.Instance, a.To.Incarnation, a.Control, a.Message) {
+			return undelivered(a)
+		}
+	case instance.Start:
+		p.startCall(a)
+	case instance.Abort:
+		if cancel := p.calls[a.Call]; cancel != nil {
+			cancel()
+		}
+	case instance.AskStatus:
+		go p.runStatus(a.Endpoint)
+	case instance.Retire:
+		p.log.WithField("endpoint", a.Endpoint.ID).Warn("connections to endpoint went silent, using new ones")
+		go p.endpoints.Retire(a.Endpoint)
+	case instance.Dial:
+		p.mesh.SetTargets(p.targets(a.Targets))
+	case instance.ReadStore:
+		p.reader.setActive(a.Active)
+	case instance.InForce:
+		p.log.WithFields(logrus.Fields{
+			"revision": a.Snapshot.Revision(),
+			"sha256":   a.Snapshot.SHA256(),
+		}).Info("configuration in force")
+	case instance.Leave:
+		p.left <- a.Reason
+	}
+	return nil
+}
+
+// maintain refreshes the stock of ids and the published status.
+func (p *Process) maintain(now time.Time) {
+	if now.Sub(p.idsFrom) > idAge {
+		p.idsFrom = now
+		for len(p.ids) > 0 {
+			<-p.ids
+		}
+	}
+	if n := idStock - len(p.ids); n > idStock/2 {
+		for _, id := range p.core.NextIDs(now, n) {
+			p.ids <- id
+		}
+	}
+	p.ready.Store(p.core.Ready())
+	if !now.Before(p.nextStatus) {
+		p.nextStatus = now.Add(time.Second)
+		p.publish()
+	}
+}
+
+// startCall starts the traffic goroutine of a call to an endpoint.
+func (p *Process) startCall(a instance.Start) {
+	ctx, cancel := context.WithCancel(p.callContext)
+	p.calls[a.Call] = cancel
+	go p.runCall(ctx, cancel, a)
+}
+
+// runCall hands a task to an endpoint and reports the result.
+func (p *Process) runCall(ctx context.Context, cancel context.CancelFunc, a instance.Start) {
+	defer cancel()
+	result := p.endpoints.Start(ctx, endpoint.Call{Instance: a.Endpoint, Task: a.Task, Limit: a.Limit})
+	p.post(instance.Finished{Call: a.Call, Result: result})
+}
+
+// runStatus asks an endpoint for its state and reports the answer.
+func (p *Process) runStatus(in work.Instance) {
+	s, err := p.endpoints.Status(p.callContext, in)
+	ev := instance.StatusRead{Endpoint: in, Slots: s.Slots, Busy: s.Busy, Draining: s.Draining, Running: s.Running}
+	if err != nil {
+		ev.Failure = fault.From(err)
+	}
+	p.post(ev)
+}
+
+// post passes an event to the loop.
+func (p *Process) post(ev instance.Event) {
+	select {
+	case p.events <- ev:
+	case <-p.callContext.Done():
+	}
+}
+
+// targets returns what the mesh dials: the listed instances and the seeds.
+func (p *Process) targets(rows []work.Instance) []peer.Target {
+	var targets []peer.Target
+	for _, row := range rows {
+		targets = append(targets, peer.Target{Instance: ident.InstanceID(row.ID), Address: row.Address})
+	}
+	return append(targets, p.cfg.Seeds...)
+}
--- /dev/null
+++ b/internal/process/entry/peers.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/instance"
+	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
+)
+
+// connectPeers makes the mesh and passes what arrives to the loop.
+func (p *Process) connectPeers() error {
+	mesh, err := peer.NewMesh(peer.Config{
+		Self:          p.cfg.Self,
+		DataCentre:    p.cfg.DataCentre,
+		ListenAddress: p.cfg.PeerAddress,
+		Token:         p.cfg.Token,
+		Clock:         p.cfg.Clock,
+	})
+	if err != nil {
+		return err
+	}
+	mesh.OnMessage = func(from ident.Process, m *peerpb.Message) {
+		p.post(instance.PeerMessage{Peer: from, Message: m})
+	}
+	mesh.OnLoad = func(from ident.Process, loads []*peerpb.Load) {
+		p.post(instance.PeerLoad{Peer: from, Loads: loads})
+	}
+	mesh.OnUp = func(from ident.Process, dc ident.DataCentre, address string) {
+		p.log.WithField("peer", from.Instance).Info("peer linked")
+		p.post(instance.PeerUp{Peer: from, DataCentre: dc, Address: address})
+	}
+	mesh.OnDown = func(from ident.Process, unsent []*peerpb.Message) {
+		p.log.WithField("peer", from.Instance).Warn("peer link lost")
+		p.post(instance.PeerDown{Peer: from, Unsent: unsent})
+	}
+	mesh.Load = p.loads
+	p.mesh = mesh
+	return nil
+}
+
+// loads returns the loads that the loop published last.
+func (p *Process) loads() []*peerpb.Load {
+	if l := p.load.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
+
+// undelivered reports a message that no link took.
+func undelivered(a instance.Send) *instance.Undelivered {
+	return &instance.Undelivered{Peer: a.To, Messages: []*peerpb.Message{a.Message}}
+}
--- /dev/null
+++ b/internal/process/entry/status.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"reflect"
+	"strings"
+	"time"
+	"unicode"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/endpoint"
+	"hornbeamlift.example/hornbeamlift/internal/adapter/platform"
+	"hornbeamlift.example/hornbeamlift/internal/decide/instance"
+)
+
+// loadInterval bounds how often the loads that ride on peer frames are worked
+// out anew.
+const loadInterval = 2 * time.Millisecond
+
+// publishLoad makes the loads readable by the mesh.
+func (p *Process) publishLoad() {
+	now := p.cfg.Clock.Now()
+	if now.Before(p.nextLoad) {
+		return
+	}
+	p.nextLoad = now.Add(loadInterval)
+	loads := p.core.Loads(now)
+	p.load.Store(&loads)
+}
+
+// Status is what an instance tells operators about itself.
+type Status struct {
+	instance.Status
+	Counters  instance.Counters `json:"counters"`
+	Store     platform.Stats    `json:"store"`
+	Endpoints endpoint.Stats    `json:"endpoint-calls"`
+	Peers     PeerStatus        `json:"peers"`
+}
+
+// PeerStatus counts what passed between this instance and its peers. Bytes
+// leave out what yamux and TCP add.
+type PeerStatus struct {
+	Links           int64  `json:"links"`
+	ControlMessages uint64 `json:"control-messages"`
+	ControlBytes    uint64 `json:"control-bytes"`
+	TrafficFrames   uint64 `json:"traffic-frames"`
+	TrafficMessages uint64 `json:"traffic-messages"`
+	TrafficBytes    uint64 `json:"traffic-bytes"`
+	Refused         uint64 `json:"refused"`
+	Silent          uint64 `json:"silent"`
+}
+
+func (p *Process) peerStatus() PeerStatus {
+	s := p.mesh.Stats()
+	return PeerStatus{
+		Links:           s.Links.Load(),
+		ControlMessages: s.Control.Out.Messages.Load(),
+		ControlBytes:    s.Control.Out.Bytes.Load(),
+		TrafficFrames:   s.Traffic.Out.Frames.Load(),
+		TrafficMessages: s.Traffic.Out.Messages.Load(),
+		TrafficBytes:    s.Traffic.Out.Bytes.Load(),
+		Refused:         s.Refused.Load(),
+		Silent:          s.Silent.Load(),
+	}
+}
+
+// publish makes the state of the loop readable by the other goroutines.
+func (p *Process) publish() {
+	now := p.cfg.Clock.Now()
+	p.status.Store(&Status{
+		Status:    p.core.Status(now),
+		Counters:  p.core.Counters(),
+		Store:     p.store.Stats(),
+		Endpoints: p.endpoints.Stats(),
+		Peers:     p.peerStatus(),
+	})
+}
+
+// registerMetrics makes each counter a metric. Names are in snake case, as the
+// Prometheus text format expects.
+func (p *Process) registerMetrics() {
+	t := reflect.TypeOf(instance.Counters{})
+	for i := range t.NumField() {
+		name := "hornbeamlift_" + snake(t.Field(i).Name) + "_total"
+		p.metrics.NewGauge(name, func() float64 {
+			s := p.status.Load()
+			if s == nil {
+				return 0
+			}
+			return float64(reflect.ValueOf(s.Counters).Field(i).Uint())
+		})
+	}
+}
+
+// snake turns a Go field name into snake case.
+func snake(name string) string {
+	var b strings.Builder
+	for i, r := range name {
+		if unicode.IsUpper(r) && i > 0 {
+			b.WriteByte('_')
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/standin/fleet/address.go
@@ -0,0 +1,21 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"sync/atomic"
+)
+
+// addresses counts the addresses that this process has handed out.
+var addresses atomic.Uint32
+
+// firstPort lies below the usual range of ephemeral ports.
+const firstPort = 10_000
+
+// Address returns a loopback address that no other process of a test run uses:
+// the process id chooses the middle bytes, and a counter the rest.
+func Address() string {
+	n := int(addresses.Add(1) - 1)
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/250%250, 1+pid%250, 1+n%250, firstPort+n/250)
+}
--- /dev/null
+++ b/internal/standin/fleet/apply.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"context"
+	"strconv"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/operator"
+	"hornbeamlift.example/hornbeamlift/internal/adapter/platform"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/config"
+)
+
+// Apply applies a configuration file as an operator does.
+func (f *Fleet) Apply(ctx context.Context, data []byte) (ident.Revision, error) {
+	file, err := config.Parse(data)
+	if err != nil {
+		return 0, err
+	}
+	client, err := platform.New(platform.Settings{Address: f.StoreAddress, Clock: f.cfg.Clock})
+	if err != nil {
+		return 0, err
+	}
+	defer client.Close()
+	f.mu.Lock()
+	f.applies++
+	id := "fleet-" + strconv.Itoa(f.applies)
+	f.mu.Unlock()
+	a := NewApplier(client)
+	a.Clock = f.cfg.Clock
+	a.NewID = func() string { return id }
+	plan, err := a.Plan(ctx, file, "fleet")
+	if err != nil {
+		return 0, err
+	}
+	return ident.Revision(plan.Next.Revision), a.Apply(ctx, plan)
+}
+
+// NewApplier returns an applier over a client of the store; the caller sets
+// its clock and source of ids.
+func NewApplier(client *platform.Client) *operator.Applier {
+	return &operator.Applier{
+		Get: func(ctx context.Context, key string) ([]byte, uint64, error) {
+			v, err := client.Get(ctx, key)
+			return v.Data, v.Revision, err
+		},
+		Put: func(ctx context.Context, key string, data []byte, ifRevision uint64) (uint64, error) {
+			return client.Put(ctx, key, data, ifRevision, "")
+		},
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/fleet_test.go
@@ -0,0 +1,96 @@
+package fleet_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/caller"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+	"hornbeamlift.example/hornbeamlift/internal/standin/fleet"
+)
+
+const file = `
+services:
+  - name: sheet-press
+    expected-run-time: 20ms
+  - name: sheet-render
+    expected-run-time: 20ms
+    idempotent: true
+teams:
+  - name: studio
+`
+
+// startFleet starts two data centres of two instances and four endpoints each
+// and waits until they are ready.
+func startFleet(t *testing.T) (context.Context, *fleet.Fleet) {
+	t.Helper()
+	is := is.New(t)
+	cfg := fleet.Config{}
+	for dc := range 2 {
+		name := ident.DataCentre("dc-" + strconv.Itoa(dc))
+		for i := range 2 {
+			cfg.Instances = append(cfg.Instances, fleet.Instance{
+				ID: ident.InstanceID("entry-" + strconv.Itoa(2*dc+i)), DataCentre: name})
+		}
+		for i := range 4 {
+			cfg.Endpoints = append(cfg.Endpoints, fleet.Endpoint{
+				ID:         ident.EndpointID("worker-" + strconv.Itoa(4*dc+i)),
+				DataCentre: name,
+				Service:    []ident.Service{"sheet-press", "sheet-render"}[i%2],
+				Speed:      1 / float64(1+i),
+				RunTime:    5 * time.Millisecond,
+			})
+		}
+	}
+	f, err := fleet.Start(cfg)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(func() {
+		cancel()
+		f.Close()
+		is.NoErr(f.Err())
+	})
+	_, err = f.Apply(ctx, []byte(file))
+	is.NoErr(err)
+	is.NoErr(f.Ready(ctx))
+	return ctx, f
+}
+
+func job(id ident.SubmissionID, n int) caller.Call {
+	c := caller.Call{ID: id, Service: "sheet-press", Team: "studio", Deadline: 30 * time.Second}
+	for i := range n {
+		c.Tasks = append(c.Tasks, caller.Task{Input: []byte(`{"echo":"` + strconv.Itoa(i) + `"}`)})
+	}
+	return c
+}
+
+// TestJob guards against a job whose answer is not whole or not in order, and
+// against a resubmission through another instance that starts tasks again.
+func TestJob(t *testing.T) {
+	is := is.New(t)
+	ctx, f := startFleet(t)
+	ids, err := f.Instances["entry-0"].Client.IDs(ctx, 1)
+	is.NoErr(err)
+	const n = 200
+	for _, via := range []ident.InstanceID{"entry-0", "entry-1", "entry-3"} {
+		a, err := f.Instances[via].Client.Job(ctx, job(ids[0], n))
+		is.NoErr(err)
+		is.Equal(a.State, work.Complete)
+		is.Equal(len(a.Outputs), n)
+		for i, out := range a.Outputs {
+			is.Equal(string(out), strconv.Itoa(i))
+		}
+	}
+	starts := f.Starts()
+	is.Equal(len(starts), n)
+	for task, k := range starts {
+		if k != 1 {
+			t.Errorf("task %s started %d times", task, k)
+		}
+	}
+}
