Add the subcommands check, apply, submit and status, with tests

Operators and callers need a command line over the parts below it, and the operators' side needs proof that two applies and lost replies are settled.

The race detector first found the client test reading a record that a handler could still write; the test now stops the server first.

--- a/cmd/hornbeamlift/main.go
+++ b/cmd/hornbeamlift/main.go
@@ -1,4 +1,98 @@
 // Command hornbeamlift dispatches short tasks from callers to endpoints.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+)
+
+// version is set by the linker in releases.
+var version = "devel"
+
+// Exit statuses.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+const mainUsage = `hornbeamlift dispatches short tasks from callers to endpoints. It runs as a
+fleet of entry instances. The subcommands check and apply the operators'
+configuration, submit work, and show the state of instances. Each of them
+explains itself with --help.`
+
+// commands lists the constructors of all subcommands in the order of the help.
+var commands = []func() *cli.Command{
+	checkCommand,
+	applyCommand,
+	submitCommand,
+	statusCommand,
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(status)
+}
+
+// run executes one command line and returns the exit status.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	root := &cli.Command{
+		Name:           "hornbeamlift",
+		Usage:          "dispatch short tasks from callers to endpoints",
+		Description:    mainUsage,
+		Version:        version,
+		Writer:         out,
+		ErrWriter:      errOut,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError:   usageError,
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return wrongUse("", "there is no subcommand "+strconv.Quote(cmd.Args().First()))
+			}
+			return wrongUse("", "a subcommand is required; see --help")
+		},
+	}
+	for _, command := range commands {
+		c := command()
+		c.OnUsageError = usageError
+		root.Commands = append(root.Commands, c)
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(errOut, err)
+	var typed *fault.Error
+	if !errors.As(err, &typed) || typed.Kind == fault.SettingsInvalid {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return wrongUse("", err.Error())
+}
+
+// wrongUse returns a failure that makes the exit status that of wrong use.
+func wrongUse(flag, detail string) error {
+	return fault.New(fault.SettingsInvalid, fault.RanNo).WithField(flag).WithDetail(detail)
+}
+
+// noArguments refuses words that no flag takes.
+func noArguments(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return wrongUse("", "unexpected argument "+strconv.Quote(cmd.Args().First()))
+	}
+	return nil
+}
--- a/internal/adapter/caller/client_test.go
+++ b/internal/adapter/caller/client_test.go
@@ -27,8 +27,9 @@
 }
 
 // cutting passes requests on to h, and cuts the first cuts replies off in their
-// middle. It records the ids of the bodies.
-func cutting(t *testing.T, h http.Handler, cuts int) *caller.Client {
+// middle. The second result stops the server and waits for its handlers, so
+// that what they recorded can be read.
+func cutting(t *testing.T, h http.Handler, cuts int) (*caller.Client, func()) {
 	t.Helper()
 	var mu sync.Mutex
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -48,7 +49,7 @@
 	t.Cleanup(s.Close)
 	c := caller.NewClient(strings.TrimPrefix(s.URL, "http://"), eager{})
 	t.Cleanup(c.Close)
-	return c
+	return c, s.Close
 }
 
 // TestClientResubmits guards against a lost reply that is sent again under
@@ -68,11 +69,12 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			h, seen := echo()
-			client := cutting(t, h, c.cuts)
+			client, stop := cutting(t, h, c.cuts)
 			answer, err := client.Job(context.Background(), caller.Call{
 				Service: "press", Team: "shop", Deadline: 2 * time.Second,
 				Tasks: []caller.Task{{Input: []byte("a"), Size: 2}, {Input: []byte(`<"é">`), Deadline: time.Second}},
 			})
+			stop()
 			is.Equal(fault.KindOf(err), c.kind)
 			is.Equal(len(*seen), c.sent)
 			for _, r := range *seen {
@@ -105,11 +107,12 @@
 	}
 	next := uint64(50)
 	h.NextID = func() ident.SubmissionID { next++; return testID(next) }
-	client := cutting(t, h, 0)
+	client, stop := cutting(t, h, 0)
 	for range 3 {
 		_, err := client.Request(context.Background(), caller.Call{Service: "s", Team: "t", Key: "k", Tasks: []caller.Task{{}}})
 		is.NoErr(err)
 	}
+	stop()
 	is.Equal(issued, 1)
 	is.Equal((*seen)[1].Submission.ID, testID(51))
 	is.Equal((*seen)[2].Submission.ID, testID(52))
@@ -124,7 +127,7 @@
 	h.Submit = func(context.Context, caller.Request) (work.Answer, error) {
 		return work.Answer{}, fault.New(fault.QueueFull, fault.RanNo).WithField("f").WithDetail("d").WithRetryAfter(3 * time.Second)
 	}
-	client := cutting(t, h, 0)
+	client, _ := cutting(t, h, 0)
 	ctx := context.Background()
 	_, err := client.Job(ctx, caller.Call{Service: "s", Team: "t", Tasks: []caller.Task{{}}})
 	got := fault.From(err)
@@ -143,7 +146,8 @@
 		`{"id":"` + testID(4).String() + `","state":"done"}`, `{`, `{}`,
 	} {
 		wrong := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(reply)) })
-		_, err := cutting(t, wrong, 0).Fetch(ctx, testID(4))
+		client, _ := cutting(t, wrong, 0)
+		_, err := client.Fetch(ctx, testID(4))
 		is.Equal(fault.KindOf(err), fault.PeerProtocol)
 	}
 }
@@ -167,6 +171,7 @@
 	defer conn.Close()
 	_, err = conn.Write([]byte("POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{"))
 	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(20 * time.Second))) // only ends a hanging test
 	reply := make([]byte, 512)
 	n, err := conn.Read(reply) // returns once the body's time is over
 	is.NoErr(err)
--- /dev/null
+++ b/internal/adapter/operator/status.go
@@ -0,0 +1,42 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+)
+
+// maxStatusBytes bounds what is read of a status.
+const maxStatusBytes = 16 << 20
+
+// FetchStatus returns the status of the instance whose operator address,
+// "IP:port", is given. The failure has kind fault.Unauthorized, or
+// fault.HomeUnreachable when the instance does not answer with a status.
+func FetchStatus(ctx context.Context, client *http.Client, address, token string) (json.RawMessage, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.SettingsInvalid, fault.RanNo).WithField("--address")
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.HomeUnreachable, fault.RanNo)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
+	switch {
+	case err != nil:
+		return nil, fault.Wrap(err, fault.HomeUnreachable, fault.RanNo)
+	case resp.StatusCode == http.StatusUnauthorized:
+		return nil, fault.New(fault.Unauthorized, fault.RanNo).WithDetail("the instance asks for a valid token")
+	case resp.StatusCode != http.StatusOK || !json.Valid(data):
+		return nil, fault.New(fault.HomeUnreachable, fault.RanNo).WithDetail("the instance answered status " + strconv.Itoa(resp.StatusCode) + " without a status report")
+	}
+	return data, nil
+}
