--- a/internal/adapter/platform/call.go
+++ b/internal/adapter/platform/call.go
@@ -132,6 +132,8 @@
 		c.abandoned()
 	} else {
 		wait = c.failed()
+		// The kept connections may have gone silent together.
+		c.transport.CloseIdleConnections()
 	}
 	if k.write && connected {
 		return fault.Wrap(err, fault.StoreUnknown, fault.RanUnknown).WithRetryAfter(wait)
--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -101,6 +101,7 @@
 // and returns the value. When nothing changed, the value has revision after and
 // no data. A key that was deleted has revision 0.
 func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	wait = max(wait, 0)
 	query := url.Values{}
 	query.Set("after", strconv.FormatUint(after, 10))
 	query.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
--- a/internal/adapter/platform/client_test.go
+++ b/internal/adapter/platform/client_test.go
@@ -115,6 +115,46 @@
 	is.Equal(c.Stats().Abandoned, uint64(1))
 }
 
+// TestSilentConnections guards against kept connections that went silent
+// together and then cost one time limit each.
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	clk := newManualClock()
+	store, address := serveStore(t, clk)
+	dials := make(chan string, 10)
+	c, err := platform.New(platform.Settings{
+		Address: address, Clock: clk,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials <- address
+			return new(net.Dialer).DialContext(ctx, network, address)
+		},
+	})
+	is.NoErr(err)
+	defer c.Close()
+	done := make(chan error)
+	store.SetDelay(time.Second)
+	get := func() {
+		_, err := c.Get(t.Context(), "k")
+		done <- err
+	}
+	go get()
+	go get()
+	eventually(t, "both calls wait", func() bool { return clk.pending() == 4 })
+	clk.advance(time.Second)
+	is.NoErr(<-done)
+	is.NoErr(<-done)
+	is.Equal(len(dials), 2)
+	store.SetDelay(time.Hour)
+	go get()
+	eventually(t, "the call waits", func() bool { return clk.pending() == 2 })
+	clk.advance(2 * time.Second)
+	is.Equal(fault.KindOf(<-done), fault.StoreUnavailable)
+	store.SetDelay(0)
+	go get()
+	is.NoErr(<-done)
+	is.Equal(len(dials), 3) // the second connection was not used
+}
+
 // TestBreaker guards against an instance that keeps calling a platform in an
 // outage, and against one that never calls again.
 func TestBreaker(t *testing.T) {
--- a/internal/adapter/platform/helpers_test.go
+++ b/internal/adapter/platform/helpers_test.go
@@ -59,6 +59,12 @@
 	return pending
 }
 
+func (c *manualClock) pending() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.timers)
+}
+
 // advance moves the clock and runs what is due.
 func (c *manualClock) advance(d time.Duration) {
 	c.mu.Lock()
--- a/internal/standin/platform/endpoint.go
+++ b/internal/standin/platform/endpoint.go
@@ -155,11 +155,7 @@
 		delete(e.listeners, l)
 	}()
 	server := &http.Server{
-		Handler:           e.Handler(),
-		ReadHeaderTimeout: time.Minute,
-		// The default would be ReadHeaderTimeout, which is shorter than the
-		// time for which clients keep connections.
-		IdleTimeout: time.Hour,
+		Handler: e.Handler(),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
--- a/internal/standin/platform/serve.go
+++ b/internal/standin/platform/serve.go
@@ -23,6 +23,8 @@
 const maxBody = 8 << 20
 
 // serve runs the server until ctx ends, then closes it with all connections.
+// The server has no timeouts of its own: it must not close a kept connection
+// just when a client sends on it.
 func serve(ctx context.Context, server *http.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -97,7 +97,7 @@
 
 // Serve serves on the listener until ctx ends.
 func (s *Store) Serve(ctx context.Context, l net.Listener) error {
-	return serve(ctx, &http.Server{Handler: s.mux, ReadHeaderTimeout: time.Minute}, l)
+	return serve(ctx, &http.Server{Handler: s.mux}, l)
 }
 
 // Calls returns the number of calls by kind: get, put, delete, watch,
