--- a/internal/adapter/peer/mesh_test.go
+++ b/internal/adapter/peer/mesh_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -16,17 +14,6 @@
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
-// TestMain fixes the seed of property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if f := flag.Lookup("rapid.seed"); f != nil && !given {
-		_ = f.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
-}
-
 // node is a running mesh that records what its functions were told.
 type node struct {
 	*peer.Mesh
--- a/internal/adapter/peer/writer.go
+++ b/internal/adapter/peer/writer.go
@@ -12,8 +12,9 @@
 
 // batchBytes bounds the messages that share a frame, in bytes; a larger
 // message travels alone. When a link fails, the outcome of a whole frame may
-// be unknown, so frames stay small. yamux's window has the same size.
-const batchBytes = 256 << 10
+// be unknown, so frames stay small. Frames above keepBuffer also cost a new
+// buffer each.
+const batchBytes = 32 << 10
 
 // writer carries the messages of one queue to its stream.
 type writer struct {
