--- a/cmd/hornbeamlift/apply.go
+++ b/cmd/hornbeamlift/apply.go
@@ -10,8 +10,8 @@
 	"github.com/urfave/cli/v3"
 
 	"hornbeamlift.example/hornbeamlift/internal/adapter/operator"
+	"hornbeamlift.example/hornbeamlift/internal/adapter/platform"
 	"hornbeamlift.example/hornbeamlift/internal/core/clock"
-	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 )
 
@@ -24,9 +24,13 @@
 accepted configuration in force within seconds.`
 
 // connectStore returns an applier whose Get and Put reach the platform's store
-// at the address. The command fills in the clock and the apply ids.
+// at the address.
 var connectStore = func(address string) (*operator.Applier, error) {
-	return nil, fault.New(fault.StoreUnavailable, fault.RanNo).WithDetail("no store client for " + address + " is connected")
+	client, err := platform.New(platform.Settings{Address: address, Clock: clock.System{}})
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewApplier(client), nil
 }
 
 func applyCommand() *cli.Command {
--- a/cmd/hornbeamlift/main.go
+++ b/cmd/hornbeamlift/main.go
@@ -36,6 +36,9 @@
 	applyCommand,
 	submitCommand,
 	statusCommand,
+	serveCommand,
+	demoCommand,
+	standInCommand,
 }
 
 func main() {
--- a/cmd/hornbeamlift/main_test.go
+++ b/cmd/hornbeamlift/main_test.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	examplePath = "../../docs/example.yaml"
+	examplePath = "example.yaml"
 	someID      = "penang-1.entry-1.19ae.1xg0.11"
 )
 
--- a/internal/adapter/operator/apply.go
+++ b/internal/adapter/operator/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hornbeamlift.example/hornbeamlift/internal/adapter/platform"
 	"hornbeamlift.example/hornbeamlift/internal/core/clock"
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/decide/config"
@@ -35,6 +36,20 @@
 	NewID func() string
 }
 
+// NewApplier returns an applier over a client of the store; the caller sets
+// its clock and source of ids.
+func NewApplier(client *platform.Client) *Applier {
+	return &Applier{
+		Get: func(ctx context.Context, key string) ([]byte, uint64, error) {
+			v, err := client.Get(ctx, key)
+			return v.Data, v.Revision, err
+		},
+		Put: func(ctx context.Context, key string, data []byte, ifRevision uint64) (uint64, error) {
+			return client.Put(ctx, key, data, ifRevision, "")
+		},
+	}
+}
+
 // Plan is an apply that was computed and not yet written.
 type Plan struct {
 	// Next is the revision to write.
--- a/internal/decide/config/file_test.go
+++ b/internal/decide/config/file_test.go
@@ -14,7 +14,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/schema/configpb"
 )
 
-const examplePath = "../../../docs/example.yaml"
+const examplePath = "../../../cmd/hornbeamlift/example.yaml"
 
 func example(t testing.TB) *configpb.File {
 	t.Helper()
--- a/internal/standin/fleet/apply.go
+++ b/internal/standin/fleet/apply.go
@@ -25,7 +25,7 @@
 	f.applies++
 	id := "fleet-" + strconv.Itoa(f.applies)
 	f.mu.Unlock()
-	a := NewApplier(client)
+	a := operator.NewApplier(client)
 	a.Clock = f.cfg.Clock
 	a.NewID = func() string { return id }
 	plan, err := a.Plan(ctx, file, "fleet")
@@ -34,17 +34,3 @@
 	}
 	return ident.Revision(plan.Next.Revision), a.Apply(ctx, plan)
 }
-
-// NewApplier returns an applier over a client of the store; the caller sets
-// its clock and source of ids.
-func NewApplier(client *platform.Client) *operator.Applier {
-	return &operator.Applier{
-		Get: func(ctx context.Context, key string) ([]byte, uint64, error) {
-			v, err := client.Get(ctx, key)
-			return v.Data, v.Revision, err
-		},
-		Put: func(ctx context.Context, key string, data []byte, ifRevision uint64) (uint64, error) {
-			return client.Put(ctx, key, data, ifRevision, "")
-		},
-	}
-}
