Bound the loops of the ejection test

Cause: with ejection disabled the test for a second ejection ran forever instead of failing. Change: its loops end after 1000 tasks. Seen to fail in a scratch copy, each with its mechanism disabled: straggler class, lower bounds from cancelled tasks, the list's leaving mark, new incarnations, SetBusy's outside load, declared sizes at face value, and the reset of the ejection time.

--- a/internal/decide/endpoints/pool_test.go
+++ b/internal/decide/endpoints/pool_test.go
@@ -132,7 +132,7 @@
 				}
 				return endpoints.Outcome{Took: took}
 			}
-			for f.health(bad).State != endpoints.StateEjected {
+			for i := 0; i < 1000 && f.health(bad).State != endpoints.StateEjected; i++ {
 				f.saturate(1)
 			}
 			is.Equal(f.health(bad).Until, f.now.Add(5*time.Second))
@@ -142,7 +142,7 @@
 			}
 			is.Equal(f.health(bad).State, endpoints.StateHealthy)
 			fails = true
-			for f.health(bad).State != endpoints.StateEjected {
+			for i := 0; i < 1000 && f.health(bad).State != endpoints.StateEjected; i++ {
 				f.saturate(1)
 			}
 			is.Equal(f.health(bad).Until, f.now.Add(5*time.Second))
