Add limits and cost budgets across instances

Change: package quota. A Book per instance uses its floor, then leased units until their lease ends by its own clock. A Granter per data centre lends the shares that one Record in the store holds; Rebalance moves them between data centres. A lapsed share becomes free after five spaced writes of another data centre, a count kept in the record, so that no clocks are compared. Costs use the same shares, labelled by hour, and do not lapse.

--- /dev/null
+++ b/internal/decide/quota/quota_test.go
@@ -0,0 +1,290 @@
+package quota_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/quota"
+)
+
+// run advances by whole seconds with the calls that a process makes: each
+// granter renews when due, and each instance asks every 5 s. Busy instances
+// start as many tasks of 4 s as they can.
+func (f *fleet) run(d time.Duration, busy ...*node) {
+	isBusy := map[*node]bool{}
+	for _, n := range busy {
+		isBusy[n] = true
+	}
+	for s := range int(d / time.Second) {
+		for _, n := range f.nodes {
+			if n == f.granters[n.dc] && !n.paused.After(f.now) && !n.granter.RenewAt().After(f.local(n)) {
+				f.renew(n, 0, 0)
+				f.advance(0)
+			}
+		}
+		for _, n := range f.nodes {
+			if n.paused.After(f.now) {
+				continue
+			}
+			if s%5 == 0 {
+				f.want(n, isBusy[n])
+			}
+		}
+		f.advance(time.Second)
+		for _, n := range f.nodes {
+			if isBusy[n] && !n.paused.After(f.now) {
+				f.fill(4*time.Second, n)
+			}
+		}
+	}
+}
+
+// want sends the requests of an instance, which are answered at once.
+func (f *fleet) want(n *node, hot bool) {
+	waiting := map[quota.LimitName]quota.Count{}
+	if hot {
+		waiting[team], waiting[cost] = f.limits[0].Max, f.limits[1].Max
+	}
+	f.ask(n, waiting, 0, 0)
+	f.advance(0)
+}
+
+// running returns the running tasks of the nodes.
+func (f *fleet) running(nodes ...*node) int {
+	count := 0
+	for _, k := range f.tasks {
+		for _, n := range nodes {
+			if k.node == n {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TestFailures guards, with one case for each failure, against units used
+// twice and against units that stay unusable. The limit is 20 in two data
+// centres of two instances, so the floors are 3, 2, 3 and 2, and the pool 10.
+func TestFailures(t *testing.T) {
+	cases := map[string]func(is *is.I, f *fleet, n []*node){
+		"burst by one team": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			is.Equal(f.running(n[1]), 12) // the floor of 2 and the pool
+			f.run(60*time.Second, n...)
+			is.Equal(f.running(n...), 20)
+			is.Equal(f.running(n[2], n[3]), 10) // the pool is shared evenly
+		},
+		"pause past the lease": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			f.advance(5 * time.Second)
+			f.fill(40*time.Second, n[1])
+			is.Equal(f.running(n[1]), 2) // leased units do not cover 40 s
+			is.True(f.begin(n[1], 4*time.Second, time.Hour))
+			n[1].paused = f.now.Add(25 * time.Second)
+			f.run(25*time.Second, n[0], n[2], n[3])
+			is.True(f.running(n[0]) > 3) // the units went to others
+			is.True(!f.begin(n[1], time.Second, time.Hour))
+		},
+		"late reply does not extend the lease": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			f.ask(n[1], map[quota.LimitName]quota.Count{team: 20}, 0, 10*time.Second)
+			f.advance(0)
+			f.advance(10 * time.Second)
+			f.fill(9*time.Second, n[1])
+			is.Equal(f.running(n[1]), 2)
+			is.True(f.begin(n[1], 7*time.Second, time.Hour))
+		},
+		"partition from the store": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[0], n[1])
+			n[0].noStore, n[1].noStore = true, true
+			f.run(28*time.Second, n...)
+			is.Equal(f.running(n...), 10) // floors only, before others may use the pool
+			f.run(40*time.Second, n...)
+			is.Equal(f.running(n[2], n[3]), 15)
+			n[0].noStore, n[1].noStore = false, false
+			f.run(60*time.Second, n...)
+			is.Equal(f.running(n[0], n[1]), 10)
+		},
+		"frequent writes do not free a share early": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			writeOften(is, f, n[2], n[2])
+		},
+		"two granters that write do not free a share early": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			writeOften(is, f, n[2], n[3])
+		},
+		"store outage of an hour": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n...)
+			is.Equal(f.running(n...), 20)
+			f.down = true
+			f.run(time.Hour, n...)
+			is.Equal(f.running(n...), 10)
+			f.down = false
+			f.run(60*time.Second, n...)
+			is.Equal(f.running(n...), 20)
+		},
+		"lost write reply": func(is *is.I, f *fleet, n []*node) {
+			f.want(n[1], true)
+			f.renew(n[0], 0, -1)
+			f.advance(10 * time.Second)
+			f.want(n[1], true)
+			is.True(!f.begin(n[1], 4*time.Second, time.Hour) || f.running(n[1]) <= 2)
+			f.renew(n[0], -1, -1) // reads the first write; its own is lost
+			f.want(n[1], true)
+			f.fill(4*time.Second, n[1])
+			is.Equal(f.running(n[1]), 12)
+		},
+		"lost reply of a write that gives units back": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			f.advance(5 * time.Second)
+			f.want(n[1], false)
+			f.want(n[1], false)
+			f.want(n[1], false)
+			f.renew(n[0], 0, -1)
+			f.advance(0)
+			f.want(n[1], true)
+			f.want(n[2], true)
+			f.renew(n[2], 0, 0)
+			f.advance(0)
+			f.want(n[2], true)
+			f.fill(4*time.Second, n[1], n[2])
+			is.Equal(f.running(n[1]), 2)
+			is.Equal(f.running(n[2]), 13)
+		},
+		"wave of cancellations": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			for _, k := range f.tasks {
+				k.ended = true
+			}
+			f.check()
+			for range 3 {
+				f.want(n[1], false)
+			}
+			f.want(n[0], true)
+			f.fill(4*time.Second, n[0])
+			is.Equal(f.running(n[0]), 13) // without waiting for the lease to end
+		},
+		"request out of order": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			f.advance(5 * time.Second)
+			for range 3 {
+				f.ask(n[1], nil, 3*time.Second, -1) // hands back, arrives late
+			}
+			f.want(n[1], true)
+			f.fill(9*time.Second, n[1])
+			f.advance(4 * time.Second)
+			f.want(n[0], true)
+			f.fill(4*time.Second, n[0])
+			is.Equal(f.running(n[0], n[1]), 15)
+		},
+		"replaced granter": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			f.granters["dc-1"] = n[1]
+			f.run(20*time.Second, n[0], n[1])
+			is.Equal(f.running(n[0], n[1]), 5)
+			f.run(30*time.Second, n[0], n[1])
+			is.Equal(f.running(n[0], n[1]), 15)
+		},
+		"cost of an hour": func(is *is.I, f *fleet, n []*node) {
+			for hour := range 2 {
+				f.run(30*time.Second, n[1])
+				f.drain(n[1])
+				is.Equal(f.spent[quota.HourOf(f.now)], quota.Count(1250)) // the floor of 250 and the pool
+				f.granters["dc-1"] = n[hour]
+				f.run(10*time.Minute, n...)
+				f.drain(n[0], n[2], n[3])
+				is.Equal(f.spent[quota.HourOf(f.now)], quota.Count(2000))
+				f.advance(55 * time.Minute)
+			}
+		},
+		"request of the hour before": func(is *is.I, f *fleet, n []*node) {
+			n[1].offset = -time.Minute
+			f.run(30*time.Second, n[0], n[2])
+			f.drain(n[0], n[2], n[3])
+			f.run(59*time.Minute+50*time.Second, n[0]) // n[1] is still in the first hour
+			for range 3 {
+				f.want(n[0], false)
+			}
+			f.want(n[1], true)
+			f.drain(n[1])
+			is.Equal(f.spent[quota.HourOf(start)], quota.Count(2000))
+		},
+		"raised floor waits for the pool to shrink": func(is *is.I, f *fleet, n []*node) {
+			f.run(30*time.Second, n[1])
+			limits := testLimits(20, 1, 2)
+			for _, n := range f.nodes {
+				n.book.SetLimits(limits)
+				n.granter.SetLimits(limits)
+			}
+			f.run(50*time.Second, n...)
+			f.run(30*time.Second, n...)
+			is.Equal(f.running(n...), 20)
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, testLimits(20, 0.5, 2), 2, 2)
+			c(is.New(t), f, f.nodes)
+		})
+	}
+}
+
+// writeOften writes the record each second, by each granter in turn, and checks
+// that the first gets no more than its floor.
+func writeOften(is *is.I, f *fleet, granters ...*node) {
+	for i := range 24 {
+		f.renew(granters[i%2], 0, 0)
+		f.advance(0)
+		f.advance(time.Second)
+		f.want(granters[0], true)
+	}
+	f.fill(time.Second, granters[0])
+	is.Equal(f.running(granters[0]), 3)
+}
+
+// TestRecordSize guards against a record that outgrows a value of the store,
+// with the longest names that are allowed.
+func TestRecordSize(t *testing.T) {
+	is := is.New(t)
+	var limits []quota.Limit
+	want := map[quota.LimitName]quota.Count{}
+	for i := range 71 {
+		name := fmt.Sprintf("%s-%02d", strings.Repeat("n", 61), i)
+		limits = append(limits,
+			quota.Limit{Name: quota.ServiceLimit(ident.Service(name)), Max: 99_999, DataCentres: dataCentres(7)},
+			quota.Limit{Name: quota.TeamLimit(ident.Team(name)), Max: 99_999, DataCentres: dataCentres(7)},
+			quota.Limit{Name: quota.CostLimit(ident.Team(name)), Max: 1e15, PerHour: true, DataCentres: dataCentres(7)})
+	}
+	for _, l := range limits {
+		want[l.Name] = l.Max
+	}
+	var r quota.Record
+	for round := range 14 {
+		dc := dataCentres(7)[round%7]
+		holder := ident.Process{Instance: ident.InstanceID("entry-" + dc), Incarnation: 1 << 63}
+		r, _ = quota.Rebalance(r, dc, quota.Demand{Granter: holder, Attempt: uint64(round), Limits: limits, Want: want}, start)
+	}
+	value, err := r.Value()
+	is.NoErr(err)
+	t.Logf("%d limits in 7 data centres take %d bytes", len(limits), len(value))
+	is.True(len(value) < 1<<19) // half of what the store holds
+	again, err := quota.ParseRecord(value)
+	is.NoErr(err)
+	is.Equal(again, r)
+}
+
+// TestStoreCalls guards against store calls that grow with the instances.
+func TestStoreCalls(t *testing.T) {
+	is := is.New(t)
+	for _, instances := range []int{2, 12} {
+		f := newFleet(t, testLimits(500, 0.5, 7), 7, instances)
+		f.run(10*time.Minute, f.nodes...)
+		t.Logf("%d instances: %d calls in 10 min", len(f.nodes), f.calls)
+		is.Equal(f.calls, 7*60*2) // a read and a write per data centre every 10 s
+	}
+}
