Check peers in the settings and require a token file

Cause: peers without an instance id can't be dialled, and an empty token left peer links to fail at start with another message. Change: settings of kind peer have the form instance=IP:port; token-file is required, so both are reported with all other faults. The settings tests follow the new rules and gain three cases.

--- a/cmd/hornbeamlift/serve.go
+++ b/cmd/hornbeamlift/serve.go
@@ -71,10 +71,11 @@
 		PlatformAddress: s.PlatformAddress,
 		Clock:           clock.System{},
 	}
-	var err error
-	if cfg.Seeds, err = seeds(s.Peers); err != nil {
-		return cfg, err
+	for _, p := range s.Peers {
+		id, address, _ := strings.Cut(p, "=")
+		cfg.Seeds = append(cfg.Seeds, peer.Target{Instance: ident.InstanceID(id), Address: address})
 	}
+	var err error
 	if cfg.Token, err = readToken(s.TokenFile); err != nil {
 		return cfg, err
 	}
@@ -90,20 +91,6 @@
 	return cfg, nil
 }
 
-// seeds reads peers of the form instance=IP:port.
-func seeds(peers []string) ([]peer.Target, error) {
-	var targets []peer.Target
-	for _, p := range peers {
-		id, address, ok := strings.Cut(p, "=")
-		if !ok || !ident.ValidName(id) {
-			return nil, fault.New(fault.SettingsInvalid, fault.RanNo).WithField("peers").
-				WithDetail("must have the form instance=IP:port")
-		}
-		targets = append(targets, peer.Target{Instance: ident.InstanceID(id), Address: address})
-	}
-	return targets, nil
-}
-
 // readToken reads the shared token, without the line's end.
 func readToken(file string) (string, error) {
 	data, err := os.ReadFile(file)
--- a/internal/decide/instance/submit.go
+++ b/internal/decide/instance/submit.go
@@ -34,7 +34,7 @@
 		s.ID = c.table.Issue(now, 1)[0]
 	}
 	if !c.isSelf(s.ID.Home()) {
-		c.forward(now, ev.Ref, s.ID, func(request uint64) *peerpb.Message {
+		c.forward(ev.Ref, s.ID, func(request uint64) *peerpb.Message {
 			return forwardMessage(now, request, s, ev.Digest)
 		})
 		return
@@ -105,7 +105,7 @@
 
 func (c *Core) fetch(now time.Time, ev Fetch) {
 	if !c.isSelf(ev.ID.Home()) {
-		c.forward(now, ev.Ref, ev.ID, func(request uint64) *peerpb.Message {
+		c.forward(ev.Ref, ev.ID, func(request uint64) *peerpb.Message {
 			return &peerpb.Message{Body: &peerpb.Message_Fetch{
 				Fetch: &peerpb.Fetch{Request: request, Id: ev.ID.String()}}}
 		})
@@ -132,7 +132,7 @@
 
 func (c *Core) cancel(now time.Time, ev Cancel) {
 	if !c.isSelf(ev.ID.Home()) {
-		c.forward(now, ev.Ref, ev.ID, func(request uint64) *peerpb.Message {
+		c.forward(ev.Ref, ev.ID, func(request uint64) *peerpb.Message {
 			return &peerpb.Message{Body: &peerpb.Message_Cancel{
 				Cancel: &peerpb.Cancel{Request: request, Id: ev.ID.String()}}}
 		})
@@ -175,7 +175,7 @@
 
 // forward passes a request on to the submission's home, or refuses it when the
 // home is gone or out of reach.
-func (c *Core) forward(now time.Time, ref Ref, id ident.SubmissionID, message func(uint64) *peerpb.Message) {
+func (c *Core) forward(ref Ref, id ident.SubmissionID, message func(uint64) *peerpb.Message) {
 	home := id.Home()
 	if ref.Peer != (ident.Process{}) {
 		// A peer took this process for the home: its view is older than ours.
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -140,6 +140,11 @@
 		if _, err := netip.ParseAddrPort(text); err != nil {
 			return strconv.Quote(text) + ` is not an address of the form "IP:port"`
 		}
+	case "peer":
+		id, address, _ := strings.Cut(text, "=")
+		if _, err := netip.ParseAddrPort(address); err != nil || !ident.ValidName(id) {
+			return strconv.Quote(text) + ` is not a peer of the form "instance=IP:port"`
+		}
 	case "duration":
 		if d, err := time.ParseDuration(text); err != nil || d <= 0 {
 			return strconv.Quote(text) + ` is not a duration above 0 with a unit, such as "30s"`
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -38,13 +38,13 @@
 	is.NoErr(os.WriteFile(token, []byte("x"), 0o600))
 	t.Setenv("HORNBEAMLIFT_DATA_CENTRE", "penang-1")
 	t.Setenv("HORNBEAMLIFT_PEER_ADDRESS", "10.0.0.1:1")
-	t.Setenv("HORNBEAMLIFT_PEERS", "10.0.0.2:1,10.0.0.3:1")
+	t.Setenv("HORNBEAMLIFT_PEERS", "entry-2=10.0.0.2:1,entry-3=10.0.0.3:1")
 	serve, err := read("--instance", "entry-1", "--peer-address", "127.0.0.1:2", "--ordinal", "3", "--token-file", token)
 	is.NoErr(err)
 	is.Equal(serve.GetInstance(), "entry-1")
 	is.Equal(serve.GetDataCentre(), "penang-1")
 	is.Equal(serve.GetPeerAddress(), "127.0.0.1:2")
-	is.Equal(serve.GetPeers(), []string{"10.0.0.2:1", "10.0.0.3:1"})
+	is.Equal(serve.GetPeers(), []string{"entry-2=10.0.0.2:1", "entry-3=10.0.0.3:1"})
 	is.Equal(serve.GetOrdinal(), uint32(3))
 	is.Equal(serve.GetTokenFile(), token)
 	is.Equal(serve.GetDrainTimeout(), "30s")
@@ -61,7 +61,10 @@
 		"address without port":  {"--peer-address", "127.0.0.1"},
 		"address by name":       {"--caller-address", "localhost:1"},
 		"port out of range":     {"--operator-address", "127.0.0.1:65536"},
-		"faulty peer":           {"--peers", "127.0.0.1:1,x"},
+		"faulty peer":           {"--peers", "entry-2=127.0.0.1:1,x"},
+		"peer without id":       {"--peers", "127.0.0.1:1"},
+		"peer address by name":  {"--peers", "entry-2=localhost:1"},
+		"no token file":         {"--token-file", ""},
 		"duration without unit": {"--drain-timeout", "30"},
 		"duration of zero":      {"--retention", "0s"},
 		"missing file":          {"--token-file", "/nonexistent/token"},
@@ -69,10 +72,12 @@
 		"negative number":       {"--ordinal", "-1"},
 		"number out of range":   {"--data-centres", "4294967296"},
 	}
+	token := filepath.Join(t.TempDir(), "token")
+	is.New(t).NoErr(os.WriteFile(token, []byte("x"), 0o600))
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			_, err := read("--instance=entry-1", "--data-centre=penang-1", c.flag+"="+c.value)
+			_, err := read("--instance=entry-1", "--data-centre=penang-1", "--token-file="+token, c.flag+"="+c.value)
 			var invalid *settings.Invalid
 			is.True(errors.As(err, &invalid))
 			is.Equal(len(invalid.Faults), 1)
@@ -88,7 +93,7 @@
 	_, err := read("--ordinal=x", "--retention=y", "--peer-address=z")
 	var invalid *settings.Invalid
 	is.True(errors.As(err, &invalid))
-	is.Equal(len(invalid.Faults), 5) // these three, and two required ones
+	is.Equal(len(invalid.Faults), 6) // these three, and three required ones
 }
 
 // TestHelp guards against flags whose help lacks the default or the variable.
