--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -103,7 +104,10 @@
 		cfg:          cfg,
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
-	f.run(func(ctx context.Context) error { return f.Store.Run(ctx, f.StoreAddress) })
+	if err := f.serve(f.StoreAddress, f.Store.Serve); err != nil {
+		f.Close()
+		return nil, err
+	}
 	var rows []work.Instance
 	for _, spec := range cfg.Endpoints {
 		row, err := f.startEndpoint(spec)
@@ -135,6 +139,16 @@
 	go f.runPart(part)
 }
 
+// serve listens before it returns, so that the part can be called at once.
+func (f *Fleet) serve(address string, part func(context.Context, net.Listener) error) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, fault.RanNo)
+	}
+	f.run(func(ctx context.Context) error { return part(ctx, l) })
+	return nil
+}
+
 func (f *Fleet) runPart(part func(context.Context) error) {
 	defer f.wg.Done()
 	if err := part(f.ctx); err != nil {
@@ -179,7 +193,9 @@
 	}
 	address := Address()
 	f.Endpoints[spec.ID] = e
-	f.run(func(ctx context.Context) error { return e.Run(ctx, address) })
+	if err := f.serve(address, e.Serve); err != nil {
+		return work.Instance{}, err
+	}
 	return work.Instance{
 		ID:          string(spec.ID),
 		Kind:        work.KindEndpoint,
