--- a/internal/adapter/caller/client_test.go
+++ b/internal/adapter/caller/client_test.go
@@ -106,16 +106,23 @@
 		return issue(ctx, n)
 	}
 	next := uint64(50)
-	h.NextID = func() ident.SubmissionID { next++; return testID(next) }
+	h.NextID = func() ident.SubmissionID {
+		if next++; next > 53 {
+			return ident.SubmissionID{}
+		}
+		return testID(next)
+	}
 	client, stop := cutting(t, h, 0)
-	for range 3 {
+	for range 5 {
 		_, err := client.Request(context.Background(), caller.Call{Service: "s", Team: "t", Key: "k", Tasks: []caller.Task{{}}})
 		is.NoErr(err)
 	}
 	stop()
-	is.Equal(issued, 1)
+	is.Equal(issued, 2)
 	is.Equal((*seen)[1].Submission.ID, testID(51))
 	is.Equal((*seen)[2].Submission.ID, testID(52))
+	is.Equal((*seen)[3].Submission.ID, testID(53))
+	is.Equal((*seen)[4].Submission.ID, testID(1)) // none was left
 	is.Equal((*seen)[2].Key, "k")
 }
 
--- a/internal/adapter/caller/handler_test.go
+++ b/internal/adapter/caller/handler_test.go
@@ -229,6 +229,13 @@
 		others[digest("/v1/jobs", `{"service":"s","team":"t","tasks":[`+tasks+`]}`)] = true
 	}
 	is.Equal(len(others), 9)
+	// The first input holds what stands between two inputs of 1 ms each, so only
+	// their lengths tell these jobs apart.
+	between := `@B\u000f` + strings.Repeat(`\u0000`, 21)
+	job := func(a, b string) uint64 {
+		return digest("/v1/jobs", `{"service":"s","team":"t","deadline-ms":1,"tasks":[{"input":"`+a+`"},{"input":"`+b+`"}]}`)
+	}
+	is.True(job("x"+between+"y", "z") != job("x", "y"+between+"z"))
 }
 
 // TestRefusal guards against a wrong status, a Retry-After that is rounded down
