--- a/internal/adapter/endpoint/client.go
+++ b/internal/adapter/endpoint/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -68,12 +67,6 @@
 // Forget frees what is held for an instance that is no longer used.
 func (c *Client) Forget(in work.Instance) { c.pool.drop(in) }
 
-// TaskName returns the name of a task in the header Hornbeamlift-Task and in
-// an endpoint's status.
-func TaskName(id ident.TaskID) string {
-	return id.Submission.String() + "/" + strconv.Itoa(id.Index)
-}
-
 // Start hands one attempt of a task to an endpoint and waits for its outcome.
 // The request is sent at most once.
 //
--- a/internal/adapter/endpoint/request.go
+++ b/internal/adapter/endpoint/request.go
@@ -23,7 +23,7 @@
 	}
 	req.Body = io.NopCloser(bytes.NewReader(task.Body))
 	req.ContentLength = int64(len(task.Body))
-	req.Header.Set("Hornbeamlift-Task", TaskName(task.ID))
+	req.Header.Set("Hornbeamlift-Task", task.ID.String())
 	req.Header.Set("Hornbeamlift-Attempt", strconv.FormatUint(uint64(task.Attempt), 10))
 	req.Header.Set("Hornbeamlift-Service", string(task.Service))
 	if !task.Deadline.IsZero() {
--- a/internal/adapter/endpoint/status.go
+++ b/internal/adapter/endpoint/status.go
@@ -16,7 +16,7 @@
 	Slots    int
 	Busy     int
 	Draining bool
-	// Running holds the running tasks by TaskName.
+	// Running holds the running tasks by ident.TaskID.String.
 	Running map[string]bool
 }
 
