--- a/internal/adapter/endpoint/client_test.go
+++ b/internal/adapter/endpoint/client_test.go
@@ -155,7 +155,7 @@
 	is.Equal(outcomeOf(got), outcome{fault.EndpointBusy, fault.RanNo, true})
 	status, err := c.Status(t.Context(), in)
 	is.NoErr(err)
-	is.Equal(status, endpoint.Status{Slots: 1, Busy: 1, Running: map[string]bool{task(1, "".String().ID): true}})
+	is.Equal(status, endpoint.Status{Slots: 1, Busy: 1, Running: map[string]bool{task(1, "").ID.String(): true}})
 	cancel()
 	is.Equal(outcomeOf(<-running), outcome{fault.Cancelled, fault.RanYes, false})
 	eventually(t, "the abort frees the slot", func() bool { return e.Busy() == 0 })
@@ -244,7 +244,7 @@
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { go cancel() }})
 		tk := task(i, "in")
 		if r := <-start(ctx, c, in, tk); r.NotStarted {
-			notStarted[ident.TaskID.String(tk.ID)] = true
+			notStarted[tk.ID.String()] = true
 		}
 		cancel()
 	}
