Write within Update under a spent budget; fix two tests

Cause: when the budget was spent, Update read again after each wait for one call. The read used up that call, the write was refused, and no write was ever made. TestUpdateBudget had hidden this by moving the clock on in a loop; with single steps it hung until the test timeout (600 s). TestWatch failed once in 10 runs with GOMAXPROCS=2 and -race, because its loop could also move the clock past the client's limit.

Change: Update waits for the budget before the write without reading again. Both tests move the clock in single steps, each after the timers are seen to be set, and check as much as before.

--- a/internal/adapter/platform/client_test.go
+++ b/internal/adapter/platform/client_test.go
@@ -218,16 +218,11 @@
 	is.NoErr(c.Delete(ctx, "k", first))
 	is.Equal(<-done, change{}) // absent
 	watch(0)
-	eventually(t, "the watch ends at its own time", func() bool {
-		clk.advance(time.Minute)
-		select {
-		case got := <-done:
-			is.Equal(got, change{})
-			return true
-		default:
-			return false
-		}
-	})
+	// The wait at the store and the client's own, longer limit are both set, so
+	// one step ends the wait alone.
+	eventually(t, "the wait is set", func() bool { return clk.pending() == 2 })
+	clk.advance(time.Minute)
+	is.Equal(<-done, change{})
 	watch(0)
 	store.SetDown(true)
 	is.Equal(fault.KindOf((<-done).err), fault.StoreUnavailable)
--- a/internal/adapter/platform/update.go
+++ b/internal/adapter/platform/update.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return Value{}, true, u.unknown(err)
 	}
-	revision, err := u.client.Put(ctx, u.key, next, old.Revision, "")
+	revision, err := u.put(ctx, next, old.Revision)
 	switch fault.KindOf(err) {
 	case "":
 		return Value{Data: next, Revision: revision}, true, nil
@@ -80,6 +80,18 @@
 	return Value{}, true, u.unknown(err)
 }
 
+// put writes, and waits while the call budget is spent. Reading again first
+// would use up the call that the wait earned, so that under a spent budget no
+// write would ever be made.
+func (u *update) put(ctx context.Context, next []byte, ifRevision uint64) (uint64, error) {
+	for {
+		revision, err := u.client.Put(ctx, u.key, next, ifRevision, "")
+		if fault.KindOf(err) != fault.BudgetExhausted || !u.client.sleep(ctx, fault.From(err).RetryAfter) {
+			return revision, err
+		}
+	}
+}
+
 // pause waits as long as the failure asks for, or returns the failure that ends
 // the update.
 func (u *update) pause(ctx context.Context, err error) error {
--- a/internal/adapter/platform/update_test.go
+++ b/internal/adapter/platform/update_test.go
@@ -95,11 +95,13 @@
 		_, err := c.Update(t.Context(), "k", appendOnce("a,"))
 		done <- err
 	}()
-	eventually(t, "the update waits", func() bool { return c.Stats().Unbudgeted == 1 })
-	eventually(t, "the update ends", func() bool {
-		clk.advance(100 * time.Millisecond)
-		return len(done) == 1
-	})
+	// The read and the write need one call each.
+	for calls := range uint64(2) {
+		eventually(t, "the update waits", func() bool {
+			return c.Stats().Unbudgeted == calls+1 && clk.pending() == 1
+		})
+		clk.advance(200 * time.Millisecond)
+	}
 	is.NoErr(<-done)
 	is.Equal(c.Stats().Calls["put"], uint64(1))
 }
