--- /dev/null
+++ b/internal/core/fault/list.go
@@ -0,0 +1,27 @@
+package fault
+
+import "strings"
+
+// List is several failures that are reported at once, such as all faults of a
+// file.
+type List struct {
+	Faults []*Error
+}
+
+// Error returns the failures, one per line.
+func (l *List) Error() string {
+	lines := make([]string, len(l.Faults))
+	for i, f := range l.Faults {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the failures, so that KindOf finds the kind of the first.
+func (l *List) Unwrap() []error {
+	errs := make([]error, len(l.Faults))
+	for i, f := range l.Faults {
+		errs[i] = f
+	}
+	return errs
+}
--- a/internal/decide/config/file.go
+++ b/internal/decide/config/file.go
@@ -26,8 +26,9 @@
 // 1 MB, and the file is kept there as JSON with its metadata.
 const maxFileBytes = 768 << 10
 
-// Parse reads the operators' YAML file and validates it. Its failure is an
-// *Invalid with every fault found. Faults of types and keys hide those of the
+// Parse reads the operators' YAML file and validates it. Its failure is a
+// *fault.List with every fault found, of kind fault.ConfigInvalid, ran no, and
+// with the path of the faulty key. Faults of types and keys hide those of the
 // values, since values are checked only in a file of the right shape.
 func Parse(data []byte) (*configpb.File, error) {
 	var found faults
--- a/internal/decide/config/file_test.go
+++ b/internal/decide/config/file_test.go
@@ -108,7 +108,7 @@
 			}
 			is.True(text != valid) // the case changes the file
 			_, err := config.Parse([]byte(text))
-			var invalid *config.Invalid
+			var invalid *fault.List
 			is.True(errors.As(err, &invalid))
 			is.Equal(invalid.Faults[0].Field, c.path)
 			is.Equal(invalid.Faults[0].Ran, fault.RanNo)
@@ -129,7 +129,7 @@
 func TestParseAllFaults(t *testing.T) {
 	is := is.New(t)
 	_, err := config.Parse([]byte("services: [{name: A, response-weight: 2}, {name: b, expected-run-time: 1}]\nteam: 1"))
-	var invalid *config.Invalid
+	var invalid *fault.List
 	is.True(errors.As(err, &invalid))
 	is.Equal(len(invalid.Faults), 2) // wrong shapes
 	_, err = config.Parse([]byte("services: [{name: A, response-weight: 2}, {name: b, expected-run-time: x}]"))
--- a/internal/decide/config/validate.go
+++ b/internal/decide/config/validate.go
@@ -12,8 +12,9 @@
 	"hornbeamlift.example/hornbeamlift/internal/schema/configpb"
 )
 
-// Validate checks names, ranges, references and sums. Its failure is an
-// *Invalid with every fault found.
+// Validate checks names, ranges, references and sums. Its failure is a
+// *fault.List with every fault found, of kind fault.ConfigInvalid, ran no, and
+// with the path of the faulty key.
 func Validate(file *configpb.File) error {
 	var found faults
 	if hasUnknown(file.ProtoReflect()) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -21,30 +21,6 @@
 // envPrefix begins the name of each environment variable.
 const envPrefix = "HORNBEAMLIFT_"
 
-// Invalid lists every fault of the settings. Each has kind
-// fault.SettingsInvalid, ran no, and the flag's name as its field.
-type Invalid struct {
-	Faults []*fault.Error
-}
-
-// Error returns the faults, one per line.
-func (e *Invalid) Error() string {
-	lines := make([]string, len(e.Faults))
-	for i, f := range e.Faults {
-		lines[i] = f.Error()
-	}
-	return strings.Join(lines, "\n")
-}
-
-// Unwrap returns the faults, so that fault.KindOf finds the kind.
-func (e *Invalid) Unwrap() []error {
-	errs := make([]error, len(e.Faults))
-	for i, f := range e.Faults {
-		errs[i] = f
-	}
-	return errs
-}
-
 // Flags returns one flag for each field of the message. Every flag takes text,
 // and Read checks it, so that all faults are reported together.
 func Flags(msg proto.Message) []cli.Flag {
@@ -68,8 +44,9 @@
 	return flags
 }
 
-// Read fills the message from the flags that Flags returned. Its failure is an
-// *Invalid with every fault found.
+// Read fills the message from the flags that Flags returned. Its failure is a
+// *fault.List with every fault found, of kind fault.SettingsInvalid, ran no, and
+// with the flag's name as its field.
 func Read(cmd *cli.Command, msg proto.Message) error {
 	var found []*fault.Error
 	m := msg.ProtoReflect()
@@ -94,7 +71,7 @@
 		}
 	}
 	if len(found) > 0 {
-		return &Invalid{Faults: found}
+		return &fault.List{Faults: found}
 	}
 	return nil
 }
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -78,7 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			_, err := read("--instance=entry-1", "--data-centre=penang-1", "--token-file="+token, c.flag+"="+c.value)
-			var invalid *settings.Invalid
+			var invalid *fault.List
 			is.True(errors.As(err, &invalid))
 			is.Equal(len(invalid.Faults), 1)
 			is.Equal(invalid.Faults[0].Field, c.flag)
@@ -91,7 +91,7 @@
 func TestReadAllFaults(t *testing.T) {
 	is := is.New(t)
 	_, err := read("--ordinal=x", "--retention=y", "--peer-address=z")
-	var invalid *settings.Invalid
+	var invalid *fault.List
 	is.True(errors.As(err, &invalid))
 	is.Equal(len(invalid.Faults), 6) // these three, and three required ones
 }
