--- a/internal/decide/instance/fleet_endpoint_test.go
+++ b/internal/decide/instance/fleet_endpoint_test.go
@@ -7,6 +7,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/instance"
+	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
 func (f *fleet) endpoint(row work.Instance) *endpoint {
@@ -191,3 +192,12 @@
 		}
 	}
 }
+
+// replacedHeartbeat is what a node tells a process whose successor it knows.
+func replacedHeartbeat(from, successor *node) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+		Instance:    string(from.id),
+		Incarnation: uint64(from.incarnation),
+		ReplacedBy:  uint64(successor.incarnation),
+	}}}
+}
