--- /dev/null
+++ b/internal/standin/fleet/capacity_test.go
@@ -0,0 +1,118 @@
+package fleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/operator"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/standin/fleet"
+)
+
+// capacityFile is a configuration of the design size.
+func capacityFile() []byte {
+	var s strings.Builder
+	s.WriteString("services:\n")
+	for i := range 20 {
+		fmt.Fprintf(&s, "  - {name: sheet-render-%02d, expected-run-time: 100ms, max-running: 2000}\n", i)
+	}
+	s.WriteString("teams:\n")
+	for i := range 71 {
+		fmt.Fprintf(&s, "  - {name: studio-%02d, weight: %d, max-running: 400}\n", i, 1+i%4)
+	}
+	return []byte(s.String())
+}
+
+// BenchmarkCapacityIdleFleet reports the control cost of one instance without
+// traffic: processor time of the whole process, with the stand-in store, and
+// bytes sent to peers, over the number of instances.
+func BenchmarkCapacityIdleFleet(b *testing.B) {
+	const window = 5 * time.Second
+	for _, n := range []int{2, 6, 12, 24} {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			cfg := fleet.Config{}
+			dcs := min(7, n/2)
+			for i := range n {
+				cfg.Instances = append(cfg.Instances, fleet.Instance{ID: ident.InstanceID(fmt.Sprintf("entry-%03d", i)),
+					DataCentre: ident.DataCentre(fmt.Sprint("dc-", i%dcs))})
+			}
+			for i := range 20 {
+				cfg.Endpoints = append(cfg.Endpoints, fleet.Endpoint{ID: ident.EndpointID(fmt.Sprintf("worker-%04d", i)),
+					DataCentre: ident.DataCentre(fmt.Sprint("dc-", i%dcs)), Service: ident.Service(fmt.Sprintf("sheet-render-%02d", i))})
+			}
+			f, err := fleet.Start(cfg)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer f.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			if _, err := f.Apply(ctx, capacityFile()); err != nil {
+				b.Fatal(err)
+			}
+			if err := f.Ready(ctx); err != nil {
+				b.Fatal(err)
+			}
+			time.Sleep(3 * time.Second) // links settle, status is published
+			for b.Loop() {
+				before, sent, calls := processor(b), controlBytes(ctx, b, f), storeCalls(f)
+				start := time.Now()
+				time.Sleep(window)
+				per := time.Since(start).Seconds() * float64(n)
+				b.ReportMetric((processor(b)-before)/per*100, "%core/instance")
+				b.ReportMetric((controlBytes(ctx, b, f)-sent)/per, "B-out/s/instance")
+				b.ReportMetric(float64(storeCalls(f)-calls)/per, "calls/s/instance")
+			}
+			runtime.GC()
+			var s runtime.MemStats
+			runtime.ReadMemStats(&s)
+			b.ReportMetric(float64(s.HeapAlloc+s.StackInuse)/float64(n), "B/instance")
+			b.ReportMetric(float64(runtime.NumGoroutine())/float64(n), "goroutines/instance")
+		})
+	}
+}
+
+// processor returns the processor time of this process in seconds.
+func processor(b *testing.B) float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e9
+}
+
+// controlBytes sums what the instances have sent on their control streams.
+func controlBytes(ctx context.Context, b *testing.B, f *fleet.Fleet) float64 {
+	sum := 0.0
+	for _, m := range f.Instances {
+		data, err := operator.FetchStatus(ctx, http.DefaultClient, m.OperatorAddress, "loopback")
+		if err != nil {
+			b.Fatal(err)
+		}
+		var status struct {
+			Peers struct {
+				ControlBytes float64 `json:"control-bytes"`
+			} `json:"peers"`
+		}
+		if err := json.Unmarshal(data, &status); err != nil {
+			b.Fatal(err)
+		}
+		sum += status.Peers.ControlBytes
+	}
+	return sum
+}
+
+func storeCalls(f *fleet.Fleet) int {
+	sum := 0
+	for _, n := range f.Store.Calls() {
+		sum += n
+	}
+	return sum
+}
