Leave service names out of heartbeats

Cause: a heartbeat of 20 busy services had 615 bytes, more than half of them service names. With 28 entry instances, heartbeats took 24.8 KB/s per node of the 23 KB/s for control, with 42 instances 38.8 KB/s (calculated from the measured sizes and message rates). Loads also came in map order, so the mesh, which compares them in order, took nearly each traffic frame for a change and attached all loads again.

Change: loads are listed in the order of the configuration in force. In heartbeats they carry no name; the receiver takes the names from the places when it has the revision that the heartbeat names, and ignores such loads otherwise. Removed services still carry their names. The schema is unchanged.

--- a/internal/decide/instance/capacity_test.go
+++ b/internal/decide/instance/capacity_test.go
@@ -139,8 +139,8 @@
 func (c *crowd) beat(p work.Instance, services int, draining bool) *peerpb.Message {
 	h := &peerpb.Heartbeat{Instance: p.ID, Incarnation: uint64(p.Incarnation), ConfigRevision: c.rev.Revision,
 		ListVersion: 1, Draining: draining}
-	for i := range services {
-		h.Load = append(h.Load, &peerpb.Load{Service: serviceName(i), FreeSlots: 20, Slots: 24})
+	for range services {
+		h.Load = append(h.Load, &peerpb.Load{FreeSlots: 20, Slots: 24})
 	}
 	return &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: h}}
 }
--- a/internal/decide/instance/core.go
+++ b/internal/decide/instance/core.go
@@ -170,7 +170,7 @@
 	case PeerMessage:
 		c.message(now, ev.Peer, ev.Message)
 	case PeerLoad:
-		c.peerLoad(now, ev.Peer, ev.Loads)
+		c.peerLoad(now, ev.Peer, ev.Loads, nil)
 	case Listed:
 		c.listed(now, ev.Instances)
 	case ConfigRead:
--- a/internal/decide/instance/peer.go
+++ b/internal/decide/instance/peer.go
@@ -117,7 +117,7 @@
 	case *peerpb.Message_Heartbeat:
 		c.heartbeat(now, p, b.Heartbeat)
 	case *peerpb.Message_LoadReport:
-		c.peerLoad(now, p, b.LoadReport.Load)
+		c.peerLoad(now, p, b.LoadReport.Load, nil)
 	case *peerpb.Message_ConfigPush:
 		c.offerConfig(now, b.ConfigPush.Revision, p)
 	case *peerpb.Message_InstanceList:
@@ -252,7 +252,7 @@
 	if by := c.members.ReplacedBy(p); by != 0 {
 		c.sendHeartbeat(now, p, by)
 	}
-	c.peerLoad(now, p, m.Load)
+	c.peerLoad(now, p, m.Load, c.heartbeatNames(ident.Revision(m.ConfigRevision)))
 	c.pushConfig(now, p, l, ident.Revision(m.ConfigRevision))
 	if m.ListVersion < c.members.ListVersion() && l.dataCentre == c.cfg.DataCentre {
 		c.sendList(p)
@@ -282,7 +282,7 @@
 		Incarnation: uint64(c.cfg.Self.Incarnation),
 		ListVersion: c.members.ListVersion(),
 		Draining:    c.draining,
-		Load:        c.Loads(now),
+		Load:        c.heartbeatLoads(now),
 		ReplacedBy:  uint64(replacedBy),
 	}
 	if current := c.holder.Current(); current != nil {
--- a/internal/decide/instance/service.go
+++ b/internal/decide/instance/service.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
@@ -143,24 +145,79 @@
 	}
 }
 
+// reported returns the services in the order in which loads list them: the
+// configured ones in the order of the configuration in force, then the removed
+// ones by name. The order is stable because the mesh sends a load again when
+// it differs from the last one.
+func (c *Core) reported() (all []*service, configured int) {
+	snap := c.holder.InForce()
+	if snap == nil {
+		return nil, 0
+	}
+	for _, name := range snap.Services() {
+		all = append(all, c.services[name])
+	}
+	configured = len(all)
+	if configured == len(c.services) {
+		return all, configured
+	}
+	for name, sv := range c.services {
+		if _, ok := snap.Service(name); !ok {
+			all = append(all, sv)
+		}
+	}
+	slices.SortFunc(all[configured:], func(a, b *service) int { return cmp.Compare(a.name, b.name) })
+	return all, configured
+}
+
 // Loads describes all services to peers.
 func (c *Core) Loads(now time.Time) []*peerpb.Load {
-	loads := make([]*peerpb.Load, 0, len(c.services))
-	for _, sv := range c.services {
-		loads = append(loads, sv.load(now))
+	all, _ := c.reported()
+	loads := make([]*peerpb.Load, len(all))
+	for i, sv := range all {
+		loads[i] = sv.load(now)
 	}
 	return loads
 }
 
+// heartbeatLoads is Loads without the names of configured services, which take
+// up more than half of a heartbeat. The receiver knows them by their places in
+// the revision that the heartbeat names.
+func (c *Core) heartbeatLoads(now time.Time) []*peerpb.Load {
+	all, configured := c.reported()
+	loads := make([]*peerpb.Load, len(all))
+	for i, sv := range all {
+		loads[i] = sv.load(now)
+		if i < configured {
+			loads[i].Service = ""
+		}
+	}
+	return loads
+}
+
+// heartbeatNames returns the services of the loads without a name, or nothing
+// when the sender has another revision: then its places are not known here.
+func (c *Core) heartbeatNames(revision ident.Revision) []ident.Service {
+	if snap := c.holder.InForce(); snap != nil && snap.Revision() == revision {
+		return snap.Services()
+	}
+	return nil
+}
+
 // peerLoad takes a peer's report and acts on it: a peer with a queue may have
-// tasks for our free slots, and a peer with free slots may take ours.
-func (c *Core) peerLoad(now time.Time, p ident.Process, loads []*peerpb.Load) {
+// tasks for our free slots, and a peer with free slots may take ours. A load
+// without a name belongs to the service at its place in names.
+func (c *Core) peerLoad(now time.Time, p ident.Process, loads []*peerpb.Load, names []ident.Service) {
 	l := c.links[p]
 	if l == nil {
 		return
 	}
-	for _, in := range loads {
-		sv := c.services[ident.Service(in.Service)]
+	for i, in := range loads {
+		name := ident.Service(in.Service)
+		if name == "" && i < len(names) {
+			name = names[i]
+		}
+		sv := c.services[name]
 		if sv == nil {
 			continue
 		}
