--- a/internal/decide/instance/capacity_test.go
+++ b/internal/decide/instance/capacity_test.go
@@ -281,7 +281,7 @@
 					b.Fatal(err)
 				}
 				b.ReportMetric(float64(len(stored)), "B/stored")
-				b.ReportMetric(float64(c.sentBytes)/float64(c.sent), "B/push")
+				b.ReportMetric(float64(c.sentBytes)/float64(max(1, c.sent)), "B/push")
 				b.ReportMetric(float64(c.sent)/float64(n), "pushes/op")
 			})
 		}
--- a/internal/decide/instance/load_test.go
+++ b/internal/decide/instance/load_test.go
@@ -129,3 +129,38 @@
 		is.Equal(got, append(slices.Clone(names), "y", "z"))
 	}
 }
+
+// TestConfigPushes guards against instances that pass on a configuration which
+// their data centre has already, and against a data centre that is not told of
+// one from outside.
+func TestConfigPushes(t *testing.T) {
+	revs := revisions([]string{sheetPress}, []string{sheetRender})
+	peer := func(id string, dc ident.DataCentre) work.Instance {
+		return work.Instance{ID: id, Kind: work.KindEntry, DataCentre: dc, Address: id, Incarnation: 1}
+	}
+	near, far := peer("entry-2", "dc-0"), peer("entry-3", "dc-2")
+	push := &peerpb.Message{Body: &peerpb.Message_ConfigPush{ConfigPush: &peerpb.ConfigPush{Revision: revs[1]}}}
+	for name, c := range map[string]struct {
+		event instance.Event
+		to    []ident.InstanceID
+	}{
+		"store":                   {instance.ConfigRead{Revision: revs[1]}, []ident.InstanceID{"entry-2", "entry-4"}},
+		"peer of the data centre": {instance.PeerMessage{Peer: process(near), Message: push}, nil},
+		"peer of another":         {instance.PeerMessage{Peer: process(far), Message: push}, []ident.InstanceID{"entry-2", "entry-4"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := loadCore(t, loadRows[0], revs[0])
+			for _, row := range []work.Instance{near, far, peer("entry-4", "dc-0")} {
+				link(core, row)
+			}
+			var to []ident.InstanceID
+			for _, a := range core.Handle(loadNow, c.event) {
+				if s, ok := a.(instance.Send); ok && s.Message.GetConfigPush() != nil {
+					to = append(to, s.To.Instance)
+				}
+			}
+			slices.Sort(to)
+			is.New(t).Equal(to, c.to)
+		})
+	}
+}
