Take units of limits before a task starts

The max-running of services and teams and a team's cost per hour were validated and then ignored.

The core now takes a unit of each limit and reserves the estimated cost in the place of the empty check, and gives them back at the end of the call. An instance asks the granter of its data centre for units and hands back what it does not need; the granter renews the record of shares by compare-and-swap through ReadShares and WriteShares. A call on a leased unit ends before the lease does. Steals name the limits that the thief lacks, and tasks that wait only for units are not pushed to peers. Submissions that no instance could ever start under the limits are refused as unplaceable.

The existing tests of decide, process and standin pass; none of them sets a limit yet.

--- a/cmd/hornbeamlift/serve.go
+++ b/cmd/hornbeamlift/serve.go
@@ -63,13 +63,16 @@
 // configuration of a process.
 func serveConfig(s *settingspb.Serve) (entry.Config, error) {
 	cfg := entry.Config{
-		Self:            ident.Process{Instance: ident.InstanceID(s.Instance)},
-		DataCentre:      ident.DataCentre(s.DataCentre),
-		CallerAddress:   s.CallerAddress,
-		PeerAddress:     s.PeerAddress,
-		OperatorAddress: s.OperatorAddress,
-		PlatformAddress: s.PlatformAddress,
-		Clock:           clock.System{},
+		Self:                   ident.Process{Instance: ident.InstanceID(s.Instance)},
+		DataCentre:             ident.DataCentre(s.DataCentre),
+		CallerAddress:          s.CallerAddress,
+		PeerAddress:            s.PeerAddress,
+		OperatorAddress:        s.OperatorAddress,
+		PlatformAddress:        s.PlatformAddress,
+		Ordinal:                int(s.Ordinal),
+		InstancesPerDataCentre: int(s.InstancesPerDataCentre),
+		DataCentres:            int(s.DataCentres),
+		Clock:                  clock.System{},
 	}
 	for _, p := range s.Peers {
 		id, address, _ := strings.Cut(p, "=")
--- a/internal/decide/instance/action.go
+++ b/internal/decide/instance/action.go
@@ -36,8 +36,11 @@
 	Call     uint64
 	Endpoint work.Instance
 	Task     *work.Task
-	// Limit is the time left until the task's deadline.
+	// Limit is the time left until Deadline.
 	Limit time.Duration
+	// Deadline is when the call must have ended. It is the task's, or earlier
+	// when the task holds units of a lease. The call must not begin after it.
+	Deadline time.Time
 }
 
 // Abort ends a call. Finished still follows.
@@ -55,19 +58,33 @@
 // ReadStore says whether this instance reads the store for its data centre.
 type ReadStore struct{ Active bool }
 
+// ReadShares reads the record of the shares of limits from the store. The
+// process answers with SharesRead.
+type ReadShares struct{}
+
+// WriteShares replaces the record if it still has the revision, once. The
+// process answers with SharesWritten.
+type WriteShares struct {
+	Attempt  uint64
+	Data     []byte
+	Revision uint64
+}
+
 // InForce publishes a new configuration.
 type InForce struct{ Snapshot *config.Snapshot }
 
 // Leave ends the process: all that was under way has ended.
 type Leave struct{ Reason fault.Kind }
 
-func (Reply) action()     {}
-func (Send) action()      {}
-func (Start) action()     {}
-func (Abort) action()     {}
-func (AskStatus) action() {}
-func (Retire) action()    {}
-func (Dial) action()      {}
-func (ReadStore) action() {}
-func (InForce) action()   {}
-func (Leave) action()     {}
+func (Reply) action()       {}
+func (Send) action()        {}
+func (Start) action()       {}
+func (Abort) action()       {}
+func (AskStatus) action()   {}
+func (Retire) action()      {}
+func (Dial) action()        {}
+func (ReadStore) action()   {}
+func (ReadShares) action()  {}
+func (WriteShares) action() {}
+func (InForce) action()     {}
+func (Leave) action()       {}
--- a/internal/decide/instance/call.go
+++ b/internal/decide/instance/call.go
@@ -16,6 +16,7 @@
 // call is one call to an endpoint.
 type call struct {
 	task     *work.Task
+	held     held
 	endpoint work.Instance
 	service  ident.Service
 	started  time.Time
@@ -40,11 +41,12 @@
 }
 
 // call starts a call to an endpoint.
-func (c *Core) call(now time.Time, sv *service, t *work.Task, choice endpoints.Choice, hedge bool) uint64 {
+func (c *Core) call(now time.Time, sv *service, t *work.Task, choice endpoints.Choice, h held, hedge bool) uint64 {
 	c.nextCall++
 	n := c.nextCall
 	k := &call{
 		task:     t,
+		held:     h,
 		endpoint: choice.Endpoint,
 		service:  sv.name,
 		started:  now,
@@ -56,7 +58,7 @@
 		c.bySubmission[t.ID.Submission] = map[uint64]*call{}
 	}
 	c.bySubmission[t.ID.Submission][n] = k
-	c.do(Start{Call: n, Endpoint: choice.Endpoint, Task: t, Limit: t.Deadline.Sub(now)})
+	c.do(Start{Call: n, Endpoint: choice.Endpoint, Task: t, Limit: h.deadline.Sub(now), Deadline: h.deadline})
 	return n
 }
 
@@ -68,6 +70,7 @@
 	}
 	c.forget(ev.Call, k)
 	sv := c.services[k.service]
+	c.settleUnits(now, k, &ev.Result)
 	kind := outcomeOf(&ev.Result)
 	if k.aborted != "" && !ev.Result.NotStarted && ev.Result.Failure != nil {
 		kind = endpoints.Cancelled
--- a/internal/decide/instance/core.go
+++ b/internal/decide/instance/core.go
@@ -30,6 +30,16 @@
 	// SpillAfter is the estimated wait above which tasks may go to another
 	// data centre.
 	SpillAfter time.Duration
+	// Ordinal is the position of this instance within its data centre, from 0.
+	Ordinal int
+	// InstancesPerDataCentre and DataCentres are what the fleet is planned for.
+	// They must be the same everywhere. Zero instances means that limits have
+	// no floors.
+	InstancesPerDataCentre, DataCentres int
+	// FloorFrom is the earliest use of the floors of limits: the latest
+	// deadline of the tasks that an earlier process with the same ordinal may
+	// have started.
+	FloorFrom time.Time
 	// Random breaks ties; it is only used by the goroutine that calls Handle.
 	Random    *rand.Rand
 	Endpoints endpoints.Config
@@ -61,6 +71,12 @@
 	if c.SpillAfter < 0 {
 		return fault.New(fault.SettingsInvalid, fault.RanNo).WithField("spill-after")
 	}
+	if c.InstancesPerDataCentre < 0 {
+		return fault.New(fault.SettingsInvalid, fault.RanNo).WithField("instances-per-data-centre")
+	}
+	if c.DataCentres < 0 {
+		return fault.New(fault.SettingsInvalid, fault.RanNo).WithField("data-centres")
+	}
 	if err := c.Endpoints.Validate(); err != nil {
 		return err
 	}
@@ -89,6 +105,7 @@
 	held map[ident.Process]map[ident.TaskID]*work.Task
 	// results holds the newest results for other homes.
 	results     map[ident.Process]*outbox
+	limits      limits
 	nextCall    uint64
 	nextForward uint64
 	nextScan    time.Time
@@ -109,6 +126,11 @@
 	Delegated, Received, Returned, Steals    uint64
 	Succeeded, Failed, Unknown, Expired      uint64
 	Cancelled, Spilled, SilentCalls, Ejected uint64
+	// LimitWaits counts the looks at a task that found no unit for it.
+	LimitWaits, Unplaceable               uint64
+	ShareRequests, ShareGrants            uint64
+	ShareReads, ShareWrites, ShareRenewed uint64
+	ShareConflicts, ShareUnknown          uint64
 }
 
 // New returns a core that knows only itself.
@@ -130,6 +152,7 @@
 			Retention:  cfg.Retention,
 		}),
 		members:      members,
+		limits:       newLimits(cfg),
 		budget:       retry.NewBudget(retry.Defaults()),
 		services:     map[ident.Service]*service{},
 		links:        map[ident.Process]*link{},
@@ -176,6 +199,10 @@
 	case ConfigRead:
 		c.members.ConfirmStore(now)
 		c.offerConfig(now, ev.Revision, ident.Process{})
+	case SharesRead:
+		c.sharesRead(now, ev)
+	case SharesWritten:
+		c.sharesWritten(now, ev)
 	case Tick:
 		c.tick(now)
 	case Drain:
--- a/internal/decide/instance/dispatch.go
+++ b/internal/decide/instance/dispatch.go
@@ -21,42 +21,56 @@
 	if !c.mayStart(now) {
 		return
 	}
+	blocked := false
 	for sv.queue.Len() > 0 && sv.pool.Free(now) > 0 {
-		t := sv.queue.Pop(c.allowed)
-		if t == nil || !c.start(now, sv, t) {
+		var h held
+		t := sv.queue.Pop(func(t *work.Task) bool {
+			var ok bool
+			h, ok = c.take(now, sv, t)
+			return ok
+		})
+		if t == nil {
+			blocked = true
+			break
+		}
+		if !c.start(now, sv, t, h) {
 			break
 		}
 	}
 	if sv.queue.Len() > 0 {
 		c.offload(now, sv)
-	} else {
+	}
+	// Slots that the limits leave free may serve other teams' tasks.
+	if sv.queue.Len() == 0 || blocked {
 		c.steal(now, sv)
 	}
+	c.lookShort(now, sv)
 	c.tell(now, sv)
 }
 
-// allowed reports whether the limits leave room for a task.
-func (c *Core) allowed(*work.Task) bool { return true }
-
 // start hands a task to the best free endpoint. It reports false when no
-// endpoint could take it; then the task waits again.
-func (c *Core) start(now time.Time, sv *service, t *work.Task) bool {
+// endpoint could take it; then the task waits again. The units that it holds
+// are released unless a call begins.
+func (c *Core) start(now time.Time, sv *service, t *work.Task, h held) bool {
 	left := t.Deadline.Sub(now)
 	if left <= 0 {
+		c.unused(now, h)
 		c.settle(now, t, notRun(t, fault.DeadlineExceeded))
 		return true
 	}
 	choice, ok := sv.pool.Pick(now, t.Size)
 	if !ok {
+		c.unused(now, h)
 		sv.queue.PushFront(t)
 		return false
 	}
 	if c.isSelf(t.Home) && !c.table.HandOut(t.ID, t.Attempt, c.cfg.Self) {
 		sv.pool.Finish(now, ident.EndpointID(choice.Endpoint.ID), choice.Endpoint.Incarnation, cancelledOutcome)
+		c.unused(now, h)
 		return true
 	}
 	c.count.Starts++
-	c.call(now, sv, t, choice, false)
+	c.call(now, sv, t, choice, h, false)
 	return true
 }
 
@@ -94,9 +108,10 @@
 
 // delegate sends up to n waiting tasks to a peer in one message.
 func (c *Core) delegate(now time.Time, sv *service, p ident.Process, ps *peerService, n int) {
+	movable := func(t *work.Task) bool { return c.ownTask(t) && c.mayMove(now, ps, t) }
 	var tasks []*work.Task
 	for len(tasks) < min(n, maxBatch) && sv.queue.Len() > 0 {
-		t := sv.queue.Pop(c.ownTask)
+		t := sv.queue.Pop(movable)
 		if t == nil {
 			break
 		}
@@ -131,6 +146,10 @@
 	if free == 0 || c.draining {
 		return
 	}
+	lacking, ok := c.lacking(now, sv)
+	if !ok {
+		return
+	}
 	var from ident.Process
 	var most *peerService
 	for p, ps := range sv.peers {
@@ -149,7 +168,7 @@
 	most.stealing = now
 	c.count.Steals++
 	c.do(Send{To: from, Message: &peerpb.Message{Body: &peerpb.Message_Steal{
-		Steal: &peerpb.Steal{Service: string(sv.name), Count: uint32(n)}}}})
+		Steal: &peerpb.Steal{Service: string(sv.name), Count: uint32(n), LackingLimits: lacking}}}})
 }
 
 // stolen answers a peer's steal, also when there is nothing to give, so that
@@ -158,7 +177,7 @@
 	sv := c.services[ident.Service(m.Service)]
 	var own []*work.Task
 	if sv != nil {
-		for _, t := range sv.queue.Steal(int(min(m.Count, maxBatch))) {
+		for _, t := range c.stealable(sv, p, int(min(m.Count, maxBatch)), m.LackingLimits) {
 			switch {
 			case c.isSelf(t.Home):
 				own = append(own, t)
--- a/internal/decide/instance/event.go
+++ b/internal/decide/instance/event.go
@@ -104,27 +104,45 @@
 // ConfigRead brings the configuration as read from the store.
 type ConfigRead struct{ Revision *configpb.Revision }
 
+// SharesRead answers ReadShares.
+type SharesRead struct {
+	Data []byte
+	// Revision is zero when there is no record yet.
+	Revision uint64
+	// Failure is set when the record could not be read.
+	Failure *fault.Error
+}
+
+// SharesWritten answers WriteShares. A failure of kind fault.StoreUnknown
+// leaves open whether the write took effect.
+type SharesWritten struct {
+	Attempt uint64
+	Failure *fault.Error
+}
+
 // Tick makes time pass. It comes every TickInterval.
 type Tick struct{}
 
 // Drain asks the instance to finish its work and leave.
 type Drain struct{}
 
-func (Issue) event()       {}
-func (Submit) event()      {}
-func (Fetch) event()       {}
-func (Cancel) event()      {}
-func (Finished) event()    {}
-func (StatusRead) event()  {}
-func (PeerUp) event()      {}
-func (PeerDown) event()    {}
-func (Undelivered) event() {}
-func (PeerMessage) event() {}
-func (PeerLoad) event()    {}
-func (Listed) event()      {}
-func (ConfigRead) event()  {}
-func (Tick) event()        {}
-func (Drain) event()       {}
+func (Issue) event()         {}
+func (Submit) event()        {}
+func (Fetch) event()         {}
+func (Cancel) event()        {}
+func (Finished) event()      {}
+func (StatusRead) event()    {}
+func (PeerUp) event()        {}
+func (PeerDown) event()      {}
+func (Undelivered) event()   {}
+func (PeerMessage) event()   {}
+func (PeerLoad) event()      {}
+func (Listed) event()        {}
+func (ConfigRead) event()    {}
+func (SharesRead) event()    {}
+func (SharesWritten) event() {}
+func (Tick) event()          {}
+func (Drain) event()         {}
 
 // TickInterval is how often Tick is expected. Deadlines are met to this
 // resolution.
--- a/internal/decide/instance/peer.go
+++ b/internal/decide/instance/peer.go
@@ -140,6 +140,10 @@
 		c.resultsReceived(now, p, b.TaskResults)
 	case *peerpb.Message_Steal:
 		c.stolen(now, p, b.Steal)
+	case *peerpb.Message_ShareRequest:
+		c.shareRequested(now, p, b.ShareRequest)
+	case *peerpb.Message_ShareGrant:
+		c.shareGranted(now, p, b.ShareGrant)
 	case *peerpb.Message_CancelTasks:
 		c.cancelTasks(p, b.CancelTasks)
 	case *peerpb.Message_Holding:
@@ -219,10 +223,13 @@
 	if ps == nil {
 		return
 	}
-	ps.stealing = time.Time{}
 	if empty {
+		// What waits there may need units that this instance lacks, so the next
+		// steal comes only after stealTimeout.
 		ps.load.Queued = 0
+		return
 	}
+	ps.stealing = time.Time{}
 }
 
 // cancelTasks drops the tasks of a peer's submission.
--- a/internal/decide/instance/service.go
+++ b/internal/decide/instance/service.go
@@ -24,6 +24,10 @@
 	owned map[ident.EndpointID]work.Instance
 	// told is the queue length that peers of the data centre last learned.
 	told int
+	// blocked counts the waiting tasks that lack units, and short names the
+	// limits, as last looked up.
+	blocked int
+	short   []string
 }
 
 // peerService is one service at a peer, as it last reported, corrected by what
@@ -31,6 +35,10 @@
 type peerService struct {
 	load work.Load
 	near bool
+	// blocked counts the queued tasks that wait for units of a limit.
+	blocked int
+	// short holds the limits of which the peer lacks units.
+	short []string
 	// stealing is when a steal was sent that has no answer yet.
 	stealing time.Time
 }
@@ -116,13 +124,14 @@
 
 // wait estimates the wait of a new task behind extra others. Peers of the data
 // centre take waiting tasks as soon as they have free slots, so their queues
-// and slots count as one with ours.
+// and slots count as one with ours. Tasks that wait for units of a limit are
+// left out, since slots do not wait for them.
 func (s *service) wait(now time.Time, extra int) time.Duration {
-	slots, queued, free := s.pool.Slots(), s.queue.Len()+extra, s.pool.Free(now)
+	slots, queued, free := s.pool.Slots(), s.queue.Len()-s.blocked+extra, s.pool.Free(now)
 	for _, p := range s.peers {
 		if p.near {
 			slots += p.load.Slots
-			queued += p.load.Queued
+			queued += max(0, p.load.Queued-p.blocked)
 			free += p.load.Free
 		}
 	}
@@ -135,11 +144,13 @@
 // load describes the service to peers.
 func (s *service) load(now time.Time) *peerpb.Load {
 	return &peerpb.Load{
-		Service:   string(s.name),
-		FreeSlots: uint32(max(0, s.pool.Free(now)-s.queue.Len())),
-		Queued:    uint32(s.queue.Len()),
-		WaitMs:    uint32(s.wait(now, 0).Milliseconds()),
-		Slots:     uint32(s.pool.Slots()),
+		Service:     string(s.name),
+		FreeSlots:   uint32(max(0, s.pool.Free(now)-s.queue.Len()+s.blocked)),
+		Queued:      uint32(s.queue.Len()),
+		WaitMs:      uint32(s.wait(now, 0).Milliseconds()),
+		Slots:       uint32(s.pool.Slots()),
+		Blocked:     uint32(s.blocked),
+		ShortLimits: s.short,
 	}
 }
 
@@ -176,6 +187,7 @@
 			Queued:  int(in.Queued),
 			Wait:    time.Duration(in.WaitMs) * time.Millisecond,
 		}
+		ps.blocked, ps.short = int(in.Blocked), in.ShortLimits
 		c.dispatch(now, sv)
 	}
 }
--- /dev/null
+++ b/internal/decide/instance/shares.go
@@ -0,0 +1,186 @@
+package instance
+
+import (
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/quota"
+	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
+)
+
+const (
+	// askUnits is the time between two requests for units, well below
+	// quota.GrantLease. While tasks lack units it is askShort.
+	askUnits = 2 * time.Second
+	askShort = 500 * time.Millisecond
+	// renewRetry is the wait before the record is read again after a failure.
+	renewRetry = time.Second
+	// conflictRetry is the longest wait after a write that met another revision.
+	conflictRetry = 200 * time.Millisecond
+)
+
+// shares asks for units, hands back those not needed, and renews the record of
+// the data centre when this instance is its granter.
+func (c *Core) shares(now time.Time) {
+	id, _ := c.members.Granter(c.cfg.DataCentre)
+	c.limits.granting = id == c.cfg.Self.Instance && !c.replaced
+	if c.replaced || len(c.limits.list) == 0 {
+		return
+	}
+	c.renew(now)
+	short := false
+	for name, since := range c.limits.short {
+		if c.isShort(now, name) {
+			short = true
+		} else if now.Sub(since) >= shortFor {
+			delete(c.limits.short, name)
+		}
+	}
+	ask, back := !now.Before(c.limits.nextAsk), !now.Before(c.limits.nextBack)
+	if !ask && !(short && now.Add(askUnits-askShort).After(c.limits.nextAsk)) {
+		return
+	}
+	granter, linked := c.linked(id)
+	if !c.limits.granting && !linked {
+		return
+	}
+	c.limits.nextAsk = now.Add(askUnits)
+	requests := c.limits.book.Demand(now, c.waitingUnits(now))
+	if back {
+		c.limits.nextBack = now.Add(askUnits)
+		requests = append(requests, c.limits.book.Excess(now)...)
+	}
+	for _, r := range requests {
+		c.count.ShareRequests++
+		if c.limits.granting {
+			c.limits.book.Accept(now, c.limits.granter.Request(now, r))
+			continue
+		}
+		c.do(Send{To: granter, Control: true, Message: &peerpb.Message{Body: &peerpb.Message_ShareRequest{
+			ShareRequest: &peerpb.ShareRequest{
+				Request: r.Number, Limit: string(r.Limit), Units: uint64(r.Units), Hour: r.Hour}}}})
+	}
+}
+
+// waitingUnits counts, for each limit, the waiting tasks that could start here
+// if they had units, and their estimated cost.
+func (c *Core) waitingUnits(now time.Time) map[quota.LimitName]quota.Count {
+	waiting := map[quota.LimitName]quota.Count{}
+	snap := c.holder.InForce()
+	for _, sv := range c.services {
+		free := sv.pool.Free(now)
+		if free == 0 || sv.queue.Len() == 0 {
+			continue
+		}
+		waiting[quota.ServiceLimit(sv.name)] += quota.Count(min(free, sv.queue.Len()))
+		for _, team := range snap.Teams() {
+			n := quota.Count(min(free, sv.queue.Waiting(team)))
+			waiting[quota.TeamLimit(team)] += n
+			waiting[quota.CostLimit(team)] += n * quota.Count(costOf(sv, sv.pool.Estimate(0)))
+		}
+	}
+	for _, k := range c.calls {
+		// A team that runs spends on until the next request is answered.
+		cost := costOf(c.services[k.service], 2*askUnits)
+		waiting[quota.CostLimit(k.task.Team)] += quota.Count(cost)
+	}
+	return waiting
+}
+
+// shareRequested answers a peer of the data centre. An instance that is not
+// the granter has nothing to lend and does not answer.
+func (c *Core) shareRequested(now time.Time, p ident.Process, m *peerpb.ShareRequest) {
+	if !c.limits.granting || c.links[p].dataCentre != c.cfg.DataCentre || m.Units > 1<<62 {
+		return
+	}
+	c.count.ShareGrants++
+	g := c.limits.granter.Request(now, quota.ShareRequest{
+		Number: m.Request,
+		Holder: p,
+		Limit:  quota.LimitName(m.Limit),
+		Units:  quota.Count(m.Units),
+		Hour:   m.Hour,
+	})
+	c.do(Send{To: p, Control: true, Message: &peerpb.Message{Body: &peerpb.Message_ShareGrant{
+		ShareGrant: &peerpb.ShareGrant{
+			Request: g.Number,
+			Limit:   string(g.Limit),
+			Units:   uint64(max(g.Units, 0)),
+			LeaseMs: uint32(g.Lease.Milliseconds()),
+			Hour:    g.Hour,
+		}}}})
+}
+
+// shareGranted takes the granter's answer.
+func (c *Core) shareGranted(now time.Time, p ident.Process, m *peerpb.ShareGrant) {
+	if c.links[p].dataCentre != c.cfg.DataCentre || m.Units > 1<<62 {
+		return
+	}
+	c.limits.book.Accept(now, quota.ShareGrant{
+		Number: m.Request,
+		Limit:  quota.LimitName(m.Limit),
+		Units:  quota.Count(m.Units),
+		Lease:  time.Duration(m.LeaseMs) * time.Millisecond,
+		Hour:   m.Hour,
+	})
+}
+
+// renew reads the record when the granter's next write is due.
+func (c *Core) renew(now time.Time) {
+	l := &c.limits
+	if !l.granting || l.renewing || now.Before(l.retryAt) || !l.failed && now.Before(l.granter.RenewAt()) {
+		return
+	}
+	c.readShares()
+}
+
+func (c *Core) readShares() {
+	c.limits.renewing = true
+	c.count.ShareReads++
+	c.do(ReadShares{})
+}
+
+// sharesRead proposes the next record in place of the one just read.
+func (c *Core) sharesRead(now time.Time, ev SharesRead) {
+	c.limits.renewing = false
+	c.limits.retryAt = now.Add(renewRetry)
+	c.limits.failed = ev.Failure != nil
+	if ev.Failure != nil || !c.limits.granting {
+		return
+	}
+	record, err := quota.ParseRecord(ev.Data)
+	if err != nil {
+		return
+	}
+	next, attempt := c.limits.granter.Propose(now, record)
+	data, err := next.Value()
+	if err != nil {
+		return
+	}
+	c.limits.renewing = true
+	c.count.ShareWrites++
+	c.do(WriteShares{Attempt: attempt, Data: data, Revision: ev.Revision})
+}
+
+// sharesWritten takes the outcome of a write. Whether a write with a lost
+// reply took effect shows when the record is read next.
+func (c *Core) sharesWritten(now time.Time, ev SharesWritten) {
+	c.limits.renewing = false
+	if ev.Failure == nil {
+		c.count.ShareRenewed++
+		c.limits.granter.Confirm(now, ev.Attempt)
+		return
+	}
+	c.limits.failed = true
+	c.limits.retryAt = now.Add(renewRetry)
+	switch ev.Failure.Kind {
+	case fault.StoreConflict:
+		c.count.ShareConflicts++
+		// The granters of the other data centres write to the same record; they
+		// spread out so that they do not meet again.
+		c.limits.retryAt = now.Add(time.Duration(c.cfg.Random.Int64N(int64(conflictRetry))))
+	case fault.StoreUnknown:
+		c.count.ShareUnknown++
+	}
+}
--- a/internal/decide/instance/status.go
+++ b/internal/decide/instance/status.go
@@ -7,6 +7,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/member"
+	"hornbeamlift.example/hornbeamlift/internal/decide/quota"
 )
 
 // Status describes the control state for operators.
@@ -25,6 +26,9 @@
 	Calls       int               `json:"calls"`
 	Members     []MemberStatus    `json:"members"`
 	Services    []ServiceStatus   `json:"services"`
+	// Granter is true when this instance lends units to its data centre.
+	Granter bool        `json:"granter"`
+	Limits  []quota.Use `json:"limits"`
 }
 
 // MemberStatus describes one entry instance as seen from here.
@@ -69,6 +73,8 @@
 		Open:        c.table.Open(),
 		Kept:        c.table.Len(),
 		Calls:       len(c.calls),
+		Granter:     c.limits.granting,
+		Limits:      c.limits.book.Uses(now),
 	}
 	if snap := c.holder.InForce(); snap != nil {
 		s.Revision, s.SHA256 = snap.Revision(), snap.SHA256()
--- a/internal/decide/instance/submit.go
+++ b/internal/decide/instance/submit.go
@@ -227,6 +227,10 @@
 	if sv.queue.Room() < len(s.Tasks) {
 		return no(fault.QueueFull).WithRetryAfter(sv.wait(now, 1))
 	}
+	if f := c.admitLimits(sv, s); f != nil {
+		c.count.Unplaceable++
+		return f
+	}
 	return c.admitDeadline(now, sv, s)
 }
 
--- a/internal/decide/instance/tick.go
+++ b/internal/decide/instance/tick.go
@@ -55,6 +55,7 @@
 			c.askDraining(sv)
 		}
 	}
+	c.shares(now)
 	c.finishDrain(now)
 }
 
@@ -119,12 +120,17 @@
 	if !c.budget.Allow(now) {
 		return
 	}
+	h, ok := c.take(now, sv, k.task)
+	if !ok {
+		return
+	}
 	choice, ok := sv.pool.PickOther(now, k.task.Size, ident.EndpointID(k.endpoint.ID))
 	if !ok {
+		c.unused(now, h)
 		return
 	}
 	c.count.Hedged++
-	k.twin = c.call(now, sv, k.task, choice, true)
+	k.twin = c.call(now, sv, k.task, choice, h, true)
 	c.calls[k.twin].twin = n
 }
 
@@ -197,6 +203,7 @@
 	}
 	snap := c.holder.InForce()
 	c.do(InForce{Snapshot: snap})
+	c.limits.set(snap, c.cfg)
 	c.applyConfig(now, snap)
 	for p, l := range c.links {
 		if p != from && l.dataCentre == c.cfg.DataCentre {
--- a/internal/decide/quota/book.go
+++ b/internal/decide/quota/book.go
@@ -114,6 +114,80 @@
 	return u, true
 }
 
+// TakeWithin takes units as Take does, for the latest deadline between least
+// and most that they cover, and returns that deadline. The task must end by
+// it, also when its own deadline is later.
+func (b *Book) TakeWithin(now, least, most time.Time, limits ...LimitName) (Units, time.Time, bool) {
+	if u, ok := b.Take(now, most, limits...); ok {
+		return u, most, true
+	}
+	var ends []time.Time
+	for _, name := range limits {
+		a := b.accounts[name]
+		if a == nil || a.limit.PerHour {
+			continue
+		}
+		for _, g := range a.grants {
+			// A grant covers deadlines that are more than Margin before its end.
+			if end := g.end.Add(-Margin - 1); end.Before(most) && !end.Before(least) {
+				ends = append(ends, end)
+			}
+		}
+	}
+	sort.Slice(ends, func(i, j int) bool { return ends[j].Before(ends[i]) })
+	for _, end := range ends {
+		if u, ok := b.Take(now, end, limits...); ok {
+			return u, end, true
+		}
+	}
+	return Units{}, time.Time{}, false
+}
+
+// Has reports whether n more units of a limit can be used until the deadline.
+// A name without a limit always has them.
+func (b *Book) Has(now, deadline time.Time, name LimitName, n Count) bool {
+	a := b.accounts[name]
+	if a == nil || a.removed {
+		return true
+	}
+	b.update(a, now)
+	if a.limit.PerHour {
+		deadline = now
+	}
+	_, ok := b.find(a, now, deadline, n)
+	return ok
+}
+
+// Use describes one limit at an instance.
+type Use struct {
+	Limit   LimitName `json:"limit"`
+	Max     Count     `json:"max"`
+	PerHour bool      `json:"per-hour"`
+	// Floor and Leased are the units that this instance may use now, Used
+	// those in use, or the micros spent and reserved in the hour.
+	Floor  Count `json:"floor"`
+	Leased Count `json:"leased"`
+	Used   Count `json:"used"`
+}
+
+// Uses describes the limits in the order of their names.
+func (b *Book) Uses(now time.Time) []Use {
+	uses := make([]Use, 0, len(b.names))
+	for _, name := range b.names {
+		a := b.accounts[name]
+		b.update(a, now)
+		uses = append(uses, Use{
+			Limit:   name,
+			Max:     a.limit.Max,
+			PerHour: a.limit.PerHour,
+			Floor:   b.usableFloor(a, now),
+			Leased:  b.granted(a, now),
+			Used:    a.floorUsed + a.leasedUsed,
+		})
+	}
+	return uses
+}
+
 // Release gives back what Take took. It must be called once, when the task has
 // ended.
 func (b *Book) Release(now time.Time, u Units) {
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -17,6 +17,7 @@
 package quota
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -68,36 +69,60 @@
 	PerHour bool
 	// FloorShare is the part of Max, from 0 to 1, that is divided into floors.
 	FloorShare float64
-	// DataCentres are those in which the limit is used.
+	// DataCentres are those in which the limit is used; empty means all of
+	// them.
 	DataCentres []ident.DataCentre
+	// Planned is the number of data centres that the fleet is planned for. It
+	// counts when DataCentres is empty, and must be the same everywhere.
+	Planned int
+}
+
+// dataCentres returns the number of data centres that have a floor.
+func (l Limit) dataCentres() Count {
+	if len(l.DataCentres) == 0 {
+		return Count(max(l.Planned, 0))
+	}
+	return Count(len(l.DataCentres))
+}
+
+// usedIn reports whether a data centre has a floor.
+func (l Limit) usedIn(dc ident.DataCentre) bool {
+	return len(l.DataCentres) == 0 && l.Planned > 0 || slices.Contains(l.DataCentres, dc)
+}
+
+// Largest returns the most units that one instance can ever have at once, when
+// each data centre is planned for so many instances.
+func (l Limit) Largest(instances int) Count {
+	if instances <= 0 {
+		return l.pool()
+	}
+	n := Count(instances)
+	return max(l.pool(), (l.floor()+n-1)/n)
 }
 
 // floor returns the static floor of one data centre.
 func (l Limit) floor() Count {
-	if len(l.DataCentres) == 0 {
+	if l.dataCentres() == 0 {
 		return 0
 	}
 	share := min(max(l.FloorShare, 0), 1)
-	return min(l.Max, Count(float64(l.Max)*share)) / Count(len(l.DataCentres))
+	return min(l.Max, Count(float64(l.Max)*share)) / l.dataCentres()
 }
 
 // pool returns what the data centres share beyond their floors.
-func (l Limit) pool() Count { return l.Max - l.floor()*Count(len(l.DataCentres)) }
+func (l Limit) pool() Count { return l.Max - l.floor()*l.dataCentres() }
 
 // instanceFloor returns the part of the floor that belongs to one instance.
 // The parts of the ordinals below p.Instances add up to the floor.
 func (l Limit) instanceFloor(p Place) Count {
-	for _, dc := range l.DataCentres {
-		if dc != p.DataCentre || p.Ordinal < 0 || p.Ordinal >= p.Instances {
-			continue
-		}
-		part := l.floor() / Count(p.Instances)
-		if Count(p.Ordinal) < l.floor()%Count(p.Instances) {
-			part++
-		}
-		return part
+	if !l.usedIn(p.DataCentre) || p.Ordinal < 0 || p.Ordinal >= p.Instances {
+		return 0
+	}
+	part := l.floor() / Count(p.Instances)
+	if Count(p.Ordinal) < l.floor()%Count(p.Instances) {
+		part++
 	}
-	return 0
+	return part
 }
 
 // Place tells which part of the floors belongs to an instance.
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
+	"hornbeamlift.example/hornbeamlift/internal/adapter/caller"
 	"hornbeamlift.example/hornbeamlift/internal/adapter/endpoint"
 	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
 	"hornbeamlift.example/hornbeamlift/internal/adapter/platform"
@@ -34,7 +35,16 @@
 	// Seeds are peer addresses to try beside those of the list.
 	Seeds []peer.Target
 	// Token authenticates peers and operators.
-	Token        string
+	Token string
+	// Ordinal is the position of this instance within its data centre, from 0.
+	Ordinal int
+	// InstancesPerDataCentre and DataCentres are what the fleet is planned for,
+	// the same everywhere. Zero instances means that limits have no floors.
+	InstancesPerDataCentre, DataCentres int
+	// FloorWait is how long after the start the floors of limits stay unused,
+	// since an earlier process with this ordinal may have tasks running. It
+	// must cover their longest deadline.
+	FloorWait    time.Duration
 	Retention    time.Duration
 	DrainTimeout time.Duration
 	Clock        clock.Clock
@@ -52,6 +62,9 @@
 	if c.DrainTimeout == 0 {
 		c.DrainTimeout = 30 * time.Second
 	}
+	if c.FloorWait == 0 {
+		c.FloorWait = caller.Limits{}.Defaults().MaxDeadline
+	}
 	if c.Self.Incarnation == 0 {
 		c.Self.Incarnation = NewIncarnation(c.Clock.Now())
 	}
@@ -121,10 +134,14 @@
 	p.reader = reader{process: p}
 	var err error
 	p.core, err = instance.New(cfg.Clock.Now(), instance.Config{
-		Self:       cfg.Self,
-		DataCentre: cfg.DataCentre,
-		Address:    cfg.PeerAddress,
-		Retention:  cfg.Retention,
+		Self:                   cfg.Self,
+		DataCentre:             cfg.DataCentre,
+		Address:                cfg.PeerAddress,
+		Retention:              cfg.Retention,
+		Ordinal:                cfg.Ordinal,
+		InstancesPerDataCentre: cfg.InstancesPerDataCentre,
+		DataCentres:            cfg.DataCentres,
+		FloorFrom:              cfg.Clock.Now().Add(cfg.FloorWait),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/process/entry/loop.go
+++ b/internal/process/entry/loop.go
@@ -118,6 +118,10 @@
 		p.mesh.SetTargets(p.targets(a.Targets))
 	case instance.ReadStore:
 		p.reader.setActive(a.Active)
+	case instance.ReadShares:
+		go p.readShares()
+	case instance.WriteShares:
+		go p.writeShares(a)
 	case instance.InForce:
 		p.log.WithFields(logrus.Fields{
 			"revision": a.Snapshot.Revision(),
@@ -159,6 +163,14 @@
 // runCall hands a task to an endpoint and reports the result.
 func (p *Process) runCall(ctx context.Context, cancel context.CancelFunc, a instance.Start) {
 	defer cancel()
+	// A pause since the decision must not let the call outlive its units.
+	if a.Limit = a.Deadline.Sub(p.cfg.Clock.Now()); a.Limit <= 0 {
+		p.post(instance.Finished{Call: a.Call, Result: work.Result{
+			Task: a.Task.ID, Attempt: a.Task.Attempt, NotStarted: true,
+			Failure: fault.New(fault.DeadlineExceeded, fault.RanNo),
+		}})
+		return
+	}
 	result := p.endpoints.Start(ctx, endpoint.Call{Instance: a.Endpoint, Task: a.Task, Limit: a.Limit})
 	p.post(instance.Finished{Call: a.Call, Result: result})
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -89,8 +89,12 @@
 	PeerAddress     string
 	Client          *caller.Client
 	spec            Instance
-	stop            context.CancelFunc
-	done            chan struct{}
+	// ordinal is the position within the data centre.
+	ordinal int
+	// started is true once a process of this instance ran.
+	started bool
+	stop    context.CancelFunc
+	done    chan struct{}
 }
 
 // Start starts a fleet. Close ends it.
@@ -117,8 +121,11 @@
 		}
 		rows = append(rows, row)
 	}
+	ordinals := map[ident.DataCentre]int{}
 	for _, spec := range cfg.Instances {
-		m := &Member{CallerAddress: Address(), OperatorAddress: Address(), PeerAddress: Address(), spec: spec}
+		m := &Member{CallerAddress: Address(), OperatorAddress: Address(), PeerAddress: Address(), spec: spec,
+			ordinal: ordinals[spec.DataCentre]}
+		ordinals[spec.DataCentre]++
 		f.Instances[spec.ID] = m
 		rows = append(rows, work.Instance{
 			ID: string(spec.ID), Kind: work.KindEntry, DataCentre: spec.DataCentre, Address: m.PeerAddress})
@@ -210,17 +217,26 @@
 
 // StartInstance starts an entry instance, or a new process of one that ended.
 func (f *Fleet) StartInstance(m *Member) error {
-	p, err := entry.New(entry.Config{
-		Self:            ident.Process{Instance: m.spec.ID},
-		DataCentre:      m.spec.DataCentre,
-		CallerAddress:   m.CallerAddress,
-		PeerAddress:     m.PeerAddress,
-		OperatorAddress: m.OperatorAddress,
-		PlatformAddress: f.StoreAddress,
-		Token:           f.cfg.Token,
-		Clock:           f.cfg.Clock,
-		Log:             f.cfg.Log,
-	})
+	dataCentres, instances := f.planned()
+	cfg := entry.Config{
+		Self:                   ident.Process{Instance: m.spec.ID},
+		DataCentre:             m.spec.DataCentre,
+		CallerAddress:          m.CallerAddress,
+		PeerAddress:            m.PeerAddress,
+		OperatorAddress:        m.OperatorAddress,
+		PlatformAddress:        f.StoreAddress,
+		Token:                  f.cfg.Token,
+		Clock:                  f.cfg.Clock,
+		Log:                    f.cfg.Log,
+		Ordinal:                m.ordinal,
+		InstancesPerDataCentre: instances,
+		DataCentres:            dataCentres,
+	}
+	if !m.started {
+		// No earlier process can have tasks running.
+		m.started, cfg.FloorWait = true, time.Nanosecond
+	}
+	p, err := entry.New(cfg)
 	if err != nil {
 		return err
 	}
@@ -234,6 +250,16 @@
 	return nil
 }
 
+// planned returns the number of data centres and the most instances of one.
+func (f *Fleet) planned() (dataCentres, instances int) {
+	count := map[ident.DataCentre]int{}
+	for _, spec := range f.cfg.Instances {
+		count[spec.DataCentre]++
+		instances = max(instances, count[spec.DataCentre])
+	}
+	return len(count), instances
+}
+
 // Drain asks an entry instance to leave and waits until it has.
 func (m *Member) Drain() {
 	m.stop()
