Test the limits under schedules, outages and restarts

Nothing checked that tasks in flight under a limit stay within it in sum.

The random schedules now limit one team and one service, and play the record of shares with compare-and-swap, outages, conflicts, and writes whose reply is lost and which take effect late or never. Tasks count from their start at an endpoint until they end there, until the call's deadline, or until a live instance ends the call.

The first schedules never reached a limit, so the test now fails when none does. The cost test showed a limit per hour that grew by a few tasks for each renewal of the record; the demand now covers 15 s of busy slots. An empty answer to a steal that named lacking limits delays the next one, which was repeated for each report of load.

--- a/internal/decide/instance/dispatch.go
+++ b/internal/decide/instance/dispatch.go
@@ -165,7 +165,7 @@
 	}
 	// Half of a long queue evens out the two; fewer steals are then needed.
 	n := min(maxBatch, most.load.Queued, max(free, most.load.Queued/2))
-	most.stealing = now
+	most.stealing, most.lacked = now, len(lacking) > 0
 	c.count.Steals++
 	c.do(Send{To: from, Message: &peerpb.Message{Body: &peerpb.Message_Steal{
 		Steal: &peerpb.Steal{Service: string(sv.name), Count: uint32(n), LackingLimits: lacking}}}})
--- a/internal/decide/instance/fleet_endpoint_test.go
+++ b/internal/decide/instance/fleet_endpoint_test.go
@@ -7,6 +7,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/instance"
+	"hornbeamlift.example/hornbeamlift/internal/decide/quota"
 )
 
 func (f *fleet) endpoint(row work.Instance) *endpoint {
@@ -44,12 +45,16 @@
 	f.starts[name]++
 	e.running++
 	e.busy[name]++
+	r.leave = f.occupy(a.Task)
+	f.at(a.Limit, r.leave)
 	took := time.Duration(float64(10+f.rnd.IntN(150)) / e.speed * float64(time.Millisecond))
 	f.at(took, func() {
 		e.running--
+		r.leave()
 		if e.busy[name]--; e.busy[name] == 0 {
 			delete(e.busy, name)
 		}
+		f.spent += quota.Count(took.Seconds() * 1000)
 		if e.silent {
 			return
 		}
@@ -70,6 +75,9 @@
 		return
 	}
 	r.ended = true
+	if r.leave != nil {
+		r.leave()
+	}
 	result.Task, result.Attempt = r.task.ID, r.task.Attempt
 	f.at(0, func() {
 		if n.calls[call] == r {
--- a/internal/decide/instance/fleet_test.go
+++ b/internal/decide/instance/fleet_test.go
@@ -12,6 +12,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/config"
 	"hornbeamlift.example/hornbeamlift/internal/decide/instance"
+	"hornbeamlift.example/hornbeamlift/internal/decide/quota"
 	"hornbeamlift.example/hornbeamlift/internal/schema/configpb"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
@@ -34,6 +35,14 @@
 	storeDown bool
 	// starts counts what endpoints started, by task name.
 	starts map[string]int
+	// limits holds what is not to be exceeded in flight at endpoints, inFlight
+	// what is there now and most the highest count.
+	limits, inFlight, most map[quota.LimitName]int
+	record                 sharesRecord
+	// spent is the cost of all runs at 1000 micros per second.
+	spent quota.Count
+	// perDC and dcs are the planned sizes.
+	perDC, dcs int
 }
 
 // timed is something that happens at a time, in order of scheduling.
@@ -87,8 +96,12 @@
 type running struct {
 	task  *work.Task
 	ended bool
+	leave func()
 }
 
+// longestDeadline bounds the deadlines in the random schedules.
+const longestDeadline = 9 * time.Second
+
 // submitted is one submission as its caller sees it.
 type submitted struct {
 	s       work.Submission
@@ -107,12 +120,16 @@
 
 func newFleet(t *testing.T, seed uint64, dcs, perDC, perDCEndpoints int) *fleet {
 	f := &fleet{
-		t:      t,
-		seed:   seed,
-		rnd:    rand.New(rand.NewPCG(seed, 1)),
-		now:    time.Unix(1_700_000_000, 0),
-		wires:  map[[2]int]*wire{},
-		starts: map[string]int{},
+		t:        t,
+		seed:     seed,
+		rnd:      rand.New(rand.NewPCG(seed, 1)),
+		now:      time.Unix(1_700_000_000, 0),
+		wires:    map[[2]int]*wire{},
+		starts:   map[string]int{},
+		perDC:    perDC,
+		dcs:      dcs,
+		inFlight: map[quota.LimitName]int{},
+		most:     map[quota.LimitName]int{},
 	}
 	f.apply(&configpb.File{
 		Services: []*configpb.Service{
@@ -193,7 +210,12 @@
 // start starts the next process of a node.
 func (f *fleet) start(n *node) {
 	n.incarnation++
-	core, err := instance.New(f.now, instance.Config{Self: n.process(), DataCentre: n.dc, Address: string(n.id)})
+	cfg := instance.Config{Self: n.process(), DataCentre: n.dc, Address: string(n.id),
+		Ordinal: n.index % f.perDC, InstancesPerDataCentre: f.perDC, DataCentres: f.dcs}
+	if n.incarnation > 1 {
+		cfg.FloorFrom = f.now.Add(longestDeadline)
+	}
+	core, err := instance.New(f.now, cfg)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -254,6 +276,10 @@
 			k := min(len(w.queue), f.rnd.IntN(8))
 			batch := slices.Clone(w.queue[:k])
 			w.queue = w.queue[k:]
+			if k > 0 {
+				// A frame carries the sender's loads.
+				f.handle(to, instance.PeerLoad{Peer: from.process(), Loads: from.core.Loads(f.now)})
+			}
 			for _, m := range batch {
 				f.handle(to, instance.PeerMessage{Peer: from.process(), Message: m})
 			}
@@ -310,6 +336,8 @@
 		if r := n.calls[a.Call]; r != nil {
 			f.end(n, a.Call, r, work.Result{Failure: fault.New(fault.Cancelled, fault.RanYes)})
 		}
+	case instance.ReadShares, instance.WriteShares:
+		f.shares(n, a)
 	case instance.AskStatus:
 		f.status(n, a.Endpoint)
 	case instance.Reply:
--- a/internal/decide/instance/peer.go
+++ b/internal/decide/instance/peer.go
@@ -224,10 +224,12 @@
 		return
 	}
 	if empty {
-		// What waits there may need units that this instance lacks, so the next
-		// steal comes only after stealTimeout.
 		ps.load.Queued = 0
-		return
+		if ps.lacked {
+			// What waits there may need units that this instance lacks, so the
+			// next steal comes only after stealTimeout.
+			return
+		}
 	}
 	ps.stealing = time.Time{}
 }
--- a/internal/decide/instance/schedule_test.go
+++ b/internal/decide/instance/schedule_test.go
@@ -25,15 +25,28 @@
 		runSchedule(t, *seedFlag)
 		return
 	}
+	reached := 0
 	for seed := uint64(1); seed <= uint64(*seeds); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := runSchedule(t, seed)
+			for name, most := range f.limits {
+				if f.most[name] == most {
+					reached++
+				}
+			}
+		})
+	}
+	t.Logf("a limit was reached %d times in %d schedules", reached, *seeds)
+	if reached == 0 && *seeds >= 10 {
+		t.Fatal("no schedule reached a limit")
 	}
 }
 
-func runSchedule(t *testing.T, seed uint64) {
+func runSchedule(t *testing.T, seed uint64) *fleet {
 	f := newFleet(t, seed, 2, 2, 2)
-	f.run(time.Second)
-	for range 150 {
+	f.limitRandomly()
+	f.run(12 * time.Second)
+	for range 200 {
 		f.step()
 		f.run(time.Duration(f.rnd.IntN(200)) * time.Millisecond)
 	}
@@ -41,6 +54,7 @@
 	f.run(15 * time.Second)
 	f.check()
 	f.settled()
+	return f
 }
 
 // step does one random thing.
@@ -63,7 +77,7 @@
 	case k < 86 && n.down:
 		f.start(n)
 	case k < 90:
-		n.pausedUntil = f.now.Add(time.Duration(f.rnd.IntN(8000)) * time.Millisecond)
+		n.pausedUntil = f.now.Add(time.Duration(f.rnd.IntN([]int{8000, 8000, 40000}[f.rnd.IntN(3)])) * time.Millisecond)
 	case k < 92:
 		e.failing = !e.failing
 	case k < 94:
@@ -76,6 +90,8 @@
 		f.storeDown = !f.storeDown
 	case k < 99:
 		f.apply(f.revision.File)
+	default:
+		f.run(time.Duration(f.rnd.IntN(30)) * time.Second)
 	}
 }
 
--- a/internal/decide/instance/service.go
+++ b/internal/decide/instance/service.go
@@ -41,6 +41,8 @@
 	short []string
 	// stealing is when a steal was sent that has no answer yet.
 	stealing time.Time
+	// lacked is true when the last steal named limits that are lacking here.
+	lacked bool
 }
 
 // applyConfig adjusts the services to a new configuration. A service that was
--- a/internal/decide/instance/shares.go
+++ b/internal/decide/instance/shares.go
@@ -14,6 +14,10 @@
 	// quota.GrantLease. While tasks lack units it is askShort.
 	askUnits = 2 * time.Second
 	askShort = 500 * time.Millisecond
+	// costAhead is how far ahead the cost of busy slots is asked for. A granter
+	// gets units for its data centre only every quota.RenewEvery, and a shorter
+	// time leaves the team idle until then.
+	costAhead = 15 * time.Second
 	// renewRetry is the wait before the record is read again after a failure.
 	renewRetry = time.Second
 	// conflictRetry is the longest wait after a write that met another revision.
@@ -64,7 +68,8 @@
 }
 
 // waitingUnits counts, for each limit, the waiting tasks that could start here
-// if they had units, and their estimated cost.
+// if they had units. For limits on cost it is what these and the running tasks
+// would cost if their slots stayed busy for costAhead.
 func (c *Core) waitingUnits(now time.Time) map[quota.LimitName]quota.Count {
 	waiting := map[quota.LimitName]quota.Count{}
 	snap := c.holder.InForce()
@@ -77,13 +82,11 @@
 		for _, team := range snap.Teams() {
 			n := quota.Count(min(free, sv.queue.Waiting(team)))
 			waiting[quota.TeamLimit(team)] += n
-			waiting[quota.CostLimit(team)] += n * quota.Count(costOf(sv, sv.pool.Estimate(0)))
+			waiting[quota.CostLimit(team)] += n * quota.Count(costOf(sv, max(costAhead, sv.pool.Estimate(0))))
 		}
 	}
 	for _, k := range c.calls {
-		// A team that runs spends on until the next request is answered.
-		cost := costOf(c.services[k.service], 2*askUnits)
-		waiting[quota.CostLimit(k.task.Team)] += quota.Count(cost)
+		waiting[quota.CostLimit(k.task.Team)] += quota.Count(costOf(c.services[k.service], costAhead))
 	}
 	return waiting
 }
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -288,3 +288,36 @@
 		is.Equal(f.calls, 7*60*2) // a read and a write per data centre every 10 s
 	}
 }
+
+// TestLargest guards against limits taken for usable that leave no instance a
+// unit, and against floors of planned data centres that exceed the limit.
+func TestLargest(t *testing.T) {
+	is := is.New(t)
+	l := quota.Limit{Name: team, Max: 12, FloorShare: 1, Planned: 3}
+	is.Equal(l.Largest(2), quota.Count(2))
+	is.Equal(l.Largest(3), quota.Count(2)) // 4 units of floor for 3 instances
+	is.Equal(l.Largest(0), quota.Count(0)) // all of it is floors that nobody has
+	l.FloorShare = 0.5
+	is.Equal(l.Largest(0), quota.Count(6))
+	b := quota.NewBook(ident.Process{Instance: "a"}, quota.Place{DataCentre: "dc-9", Instances: 1})
+	b.SetLimits([]quota.Limit{l})
+	is.Equal(b.Uses(start)[0].Floor, quota.Count(2))
+}
+
+// TestTakeWithin guards against a deadline beyond the lease of a unit, and
+// against a lease that goes unused when the task's own deadline is later.
+func TestTakeWithin(t *testing.T) {
+	is := is.New(t)
+	b := quota.NewBook(ident.Process{Instance: "a"}, quota.Place{DataCentre: "dc-1"})
+	b.SetLimits([]quota.Limit{{Name: team, Max: 1, DataCentres: dataCentres(1)}})
+	r := b.Demand(start, map[quota.LimitName]quota.Count{team: 1})[0]
+	b.Accept(start.Add(time.Second), quota.ShareGrant{Number: r.Number, Limit: team, Units: 1, Lease: 10 * time.Second})
+	minute := start.Add(time.Minute)
+	_, _, ok := b.TakeWithin(start, start.Add(10*time.Second), minute, team)
+	is.True(!ok)
+	_, end, ok := b.TakeWithin(start, start.Add(2*time.Second), minute, team)
+	is.True(ok)
+	is.Equal(end, start.Add(10*time.Second-quota.Margin-1))
+	_, _, ok = b.TakeWithin(start, start.Add(2*time.Second), minute, team)
+	is.True(!ok)
+}
