End each call after 60 s, so that a successor may soon use its floors

Cause: a new process used the floors of limits only an hour after its start, the longest deadline of its predecessor's tasks. With the store out of reach it started no limited work for that hour. Change: a call to an endpoint lasts at most 60 s, and the wait is 65 s. Weighed: a shorter bound (a few tasks take several seconds), and no wait (the limit could be exceeded by the predecessor's tasks). Seen failing: without the bound, TestLongestRun saw a limit of an hour.

--- a/internal/decide/instance/admission_test.go
+++ b/internal/decide/instance/admission_test.go
@@ -201,6 +201,23 @@
 	f.check()
 }
 
+// TestLongestRun guards against a call that outlasts the wait of a successor
+// for the floors of limits.
+func TestLongestRun(t *testing.T) {
+	is := is.New(t)
+	f := readyFleet(t, 1, 1, 1)
+	s := f.newSubmission(f.nodes[0], sheetPress, "studio", 1, time.Hour)
+	calls := 0
+	for _, a := range f.nodes[0].core.Handle(f.now, instance.Submit{Submission: s.s}) {
+		if start, ok := a.(instance.Start); ok {
+			calls++
+			is.True(start.Limit <= instance.LongestRun)
+			is.Equal(start.Deadline, f.now.Add(start.Limit))
+		}
+	}
+	is.Equal(calls, 1)
+}
+
 // TestReplacedAfterPause guards against a paused process that goes on with
 // queued work after its successor has begun: it starts nothing more and leaves.
 func TestReplacedAfterPause(t *testing.T) {
--- a/internal/decide/instance/call.go
+++ b/internal/decide/instance/call.go
@@ -10,6 +10,12 @@
 	"hornbeamlift.example/hornbeamlift/internal/decide/retry"
 )
 
+// LongestRun bounds one call to an endpoint, whatever the task's deadline. A
+// process that follows another of the same ordinal waits that long before it
+// uses the floors of limits, since its predecessor's tasks may still run; the
+// longest deadline is an hour, and tasks take a few seconds at most.
+const LongestRun = time.Minute
+
 // cancelledOutcome gives a slot back that was not used.
 var cancelledOutcome = endpoints.Outcome{Kind: endpoints.Cancelled}
 
@@ -58,7 +64,11 @@
 		c.bySubmission[t.ID.Submission] = map[uint64]*call{}
 	}
 	c.bySubmission[t.ID.Submission][n] = k
-	c.do(Start{Call: n, Endpoint: choice.Endpoint, Task: t, Limit: h.deadline.Sub(now), Deadline: h.deadline})
+	end := h.deadline
+	if longest := now.Add(LongestRun); end.After(longest) {
+		end = longest
+	}
+	c.do(Start{Call: n, Endpoint: choice.Endpoint, Task: t, Limit: end.Sub(now), Deadline: end})
 	return n
 }
 
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -13,7 +13,6 @@
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
-	"hornbeamlift.example/hornbeamlift/internal/adapter/caller"
 	"hornbeamlift.example/hornbeamlift/internal/adapter/endpoint"
 	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
 	"hornbeamlift.example/hornbeamlift/internal/adapter/platform"
@@ -43,7 +42,7 @@
 	InstancesPerDataCentre, DataCentres int
 	// FloorWait is how long after the start the floors of limits stay unused,
 	// since an earlier process with this ordinal may have tasks running. It
-	// must cover their longest deadline.
+	// must cover the longest run of a task.
 	FloorWait    time.Duration
 	Retention    time.Duration
 	DrainTimeout time.Duration
@@ -66,7 +65,7 @@
 		c.Retention = 10 * time.Minute
 	}
 	if c.FloorWait == 0 {
-		c.FloorWait = caller.Limits{}.Defaults().MaxDeadline
+		c.FloorWait = instance.LongestRun + floorMargin
 	}
 	if c.Self.Incarnation == 0 {
 		c.Self.Incarnation = NewIncarnation(c.Clock.Now())
@@ -74,6 +73,10 @@
 	return c
 }
 
+// floorMargin covers the time that an endpoint takes to stop a task whose
+// deadline has passed.
+const floorMargin = 5 * time.Second
+
 // NewIncarnation draws the incarnation of a process that starts now: 48 bits
 // of Unix milliseconds, so that later processes are higher, then 16 random
 // bits, so that two processes of one id that start together differ.
