--- a/internal/standin/fleet/capacity_test.go
+++ b/internal/standin/fleet/capacity_test.go
@@ -13,6 +13,7 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/adapter/operator"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/standin/fleet"
 )
 
@@ -35,8 +36,9 @@
 // bytes sent to peers, over the number of instances.
 func BenchmarkCapacityIdleFleet(b *testing.B) {
 	const window = 5 * time.Second
-	for _, n := range []int{2, 6, 12, 24} {
-		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+	for _, size := range [][2]int{{2, 0}, {6, 0}, {12, 0}, {24, 0}, {24, 800}} {
+		n, listed := size[0], size[1]
+		b.Run(fmt.Sprintf("instances=%d/listed=%d", n, listed), func(b *testing.B) {
 			cfg := fleet.Config{}
 			dcs := min(7, n/2)
 			for i := range n {
@@ -60,6 +62,9 @@
 			if err := f.Ready(ctx); err != nil {
 				b.Fatal(err)
 			}
+			if listed > 0 {
+				f.Store.SetInstances(listRows(f, cfg, listed))
+			}
 			time.Sleep(3 * time.Second) // links settle, status is published
 			for b.Loop() {
 				before, sent, calls := processor(b), controlBytes(ctx, b, f), storeCalls(f)
@@ -79,6 +84,22 @@
 	}
 }
 
+// listRows returns a list with workers that nobody reaches, so that the list
+// has its full size without as many endpoints.
+func listRows(f *fleet.Fleet, cfg fleet.Config, workers int) []work.Instance {
+	var rows []work.Instance
+	for _, in := range cfg.Instances {
+		rows = append(rows, work.Instance{ID: string(in.ID), Kind: work.KindEntry, DataCentre: in.DataCentre,
+			Address: f.Instances[in.ID].PeerAddress})
+	}
+	for i := range workers {
+		rows = append(rows, work.Instance{ID: fmt.Sprintf("listed-%04d", i), Kind: work.KindEndpoint,
+			DataCentre: cfg.Instances[i%7].DataCentre, Address: fleet.Address(), Incarnation: 0x019ae3f40a7c1234,
+			Service: ident.Service(fmt.Sprintf("sheet-render-%02d", i/7%20)), Slots: 8, Connections: 64})
+	}
+	return rows
+}
+
 // processor returns the processor time of this process in seconds.
 func processor(b *testing.B) float64 {
 	var u syscall.Rusage
