Work out lacking limits only when a peer has work to give

Cause: an idle instance of 24, with 20 services and 71 teams, spent 26% of its processor time in quota.Book.Has: each tick asked for every service which limits were lacking before it looked whether any peer had a queue (profile of CapacityIdleFleet). Change: the peer with the longest queue is found first. Admission reads a note of whether a service can be placed instead of scanning the list of 850 rows. A benchmark measures a read of an unchanged list.

--- a/internal/adapter/platform/capacity_test.go
+++ b/internal/adapter/platform/capacity_test.go
@@ -3,12 +3,18 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"context"
 	"fmt"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/adapter/platform"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
+	standin "hornbeamlift.example/hornbeamlift/internal/standin/platform"
 )
 
 // BenchmarkCapacityListRead measures the decoding of the platform's list and
@@ -16,13 +22,7 @@
 func BenchmarkCapacityListRead(b *testing.B) {
 	for _, n := range []int{214, 850} {
 		b.Run(fmt.Sprint("rows=", n), func(b *testing.B) {
-			var rows []work.Instance
-			for i := range n {
-				rows = append(rows, work.Instance{ID: fmt.Sprintf("worker-%04d", i), Kind: work.KindEndpoint,
-					DataCentre: ident.DataCentre(fmt.Sprint("dc-", i%7)), Address: fmt.Sprintf("10.30.%d.%d:7500", i/200, i%200),
-					Incarnation: ident.Incarnation(0x019ae3f40a7c0000 + i*7919),
-					Service:     ident.Service(fmt.Sprintf("sheet-render-%02d", i/7%20)), Slots: 8, Connections: 64})
-			}
+			rows := listRows(n)
 			data, err := platform.EncodeInstances(rows)
 			if err != nil {
 				b.Fatal(err)
@@ -45,3 +45,64 @@
 		})
 	}
 }
+
+// listRows returns a list of n endpoints as a fleet would have.
+func listRows(n int) []work.Instance {
+	var rows []work.Instance
+	for i := range n {
+		rows = append(rows, work.Instance{ID: fmt.Sprintf("worker-%04d", i), Kind: work.KindEndpoint,
+			DataCentre: ident.DataCentre(fmt.Sprint("dc-", i%7)), Address: fmt.Sprintf("10.30.%d.%d:7500", i/200, i%200),
+			Incarnation: ident.Incarnation(0x019ae3f40a7c0000 + i*7919),
+			Service:     ident.Service(fmt.Sprintf("sheet-render-%02d", i/7%20)), Slots: 8, Connections: 64})
+	}
+	return rows
+}
+
+// countingConn counts the bytes of a connection in both directions.
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkCapacityListUnchanged measures a read of a list that has not
+// changed: its time, and its bytes in both directions without those of TCP.
+func BenchmarkCapacityListUnchanged(b *testing.B) {
+	clk := newManualClock()
+	store := standin.NewStore(standin.StoreSettings{Clock: clk})
+	store.SetInstances(listRows(850))
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	var bytes atomic.Int64
+	c, err := platform.New(platform.Settings{Address: server.Listener.Addr().String(), Clock: clk,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return countingConn{conn, &bytes}, err
+		}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	read := func() {
+		clk.advance(time.Second)
+		if rows, err := c.Instances(b.Context()); err != nil || len(rows) != 850 {
+			b.Fatalf("%d rows: %v", len(rows), err)
+		}
+	}
+	read()
+	before := bytes.Load()
+	for b.Loop() {
+		read()
+	}
+	b.ReportMetric(float64(bytes.Load()-before)/float64(b.N), "B/read")
+}
--- a/internal/decide/instance/dispatch.go
+++ b/internal/decide/instance/dispatch.go
@@ -146,13 +146,26 @@
 	if free == 0 || c.draining {
 		return
 	}
+	from, most := sv.longestQueue(now)
+	if most == nil {
+		return
+	}
 	lacking, ok := c.lacking(now, sv)
 	if !ok {
 		return
 	}
-	var from ident.Process
-	var most *peerService
-	for p, ps := range sv.peers {
+	// Half of a long queue evens out the two; fewer steals are then needed.
+	n := min(maxBatch, most.load.Queued, max(free, most.load.Queued/2))
+	most.stealing, most.lacked = now, len(lacking) > 0
+	c.count.Steals++
+	c.do(Send{To: from, Message: &peerpb.Message{Body: &peerpb.Message_Steal{
+		Steal: &peerpb.Steal{Service: string(sv.name), Count: uint32(n), LackingLimits: lacking}}}})
+}
+
+// longestQueue returns the peer of the data centre with the most waiting tasks
+// that has no steal to answer, or nil.
+func (s *service) longestQueue(now time.Time) (from ident.Process, most *peerService) {
+	for p, ps := range s.peers {
 		if !ps.near || ps.load.Queued == 0 || now.Sub(ps.stealing) < stealTimeout {
 			continue
 		}
@@ -160,15 +173,7 @@
 			from, most = p, ps
 		}
 	}
-	if most == nil {
-		return
-	}
-	// Half of a long queue evens out the two; fewer steals are then needed.
-	n := min(maxBatch, most.load.Queued, max(free, most.load.Queued/2))
-	most.stealing, most.lacked = now, len(lacking) > 0
-	c.count.Steals++
-	c.do(Send{To: from, Message: &peerpb.Message{Body: &peerpb.Message_Steal{
-		Steal: &peerpb.Steal{Service: string(sv.name), Count: uint32(n), LackingLimits: lacking}}}})
+	return from, most
 }
 
 // stolen answers a peer's steal, also when there is nothing to give, so that
--- a/internal/decide/instance/service.go
+++ b/internal/decide/instance/service.go
@@ -20,8 +20,10 @@
 	conf  config.Service
 	limit int
 	queue *fairqueue.Queue
-	pool  *endpoints.Pool
-	peers map[ident.Process]*peerService
+	// placeable is true when some allowed data centre lists a live endpoint.
+	placeable bool
+	pool      *endpoints.Pool
+	peers     map[ident.Process]*peerService
 	// owned holds the endpoints of the pool.
 	owned map[ident.EndpointID]work.Instance
 	// told is the queue length that peers of the data centre last learned.
@@ -79,6 +81,7 @@
 	if snap == nil {
 		return
 	}
+	c.placements(snap)
 	for _, sv := range c.services {
 		var owned []work.Instance
 		if snap.MayRun(sv.name, c.cfg.DataCentre) {
@@ -114,16 +117,18 @@
 	}
 }
 
-// placeable reports whether some allowed data centre lists a live endpoint.
-func (c *Core) placeable(sv *service) bool {
-	snap := c.holder.InForce()
+// placements notes for each service whether some allowed data centre lists a
+// live endpoint. Admission reads the note, since the list may have 850 rows.
+func (c *Core) placements(snap *config.Snapshot) {
+	for _, sv := range c.services {
+		sv.placeable = false
+	}
 	for _, row := range c.members.List() {
-		if row.Kind == work.KindEndpoint && row.Service == sv.name && !row.Leaving &&
-			snap.MayRun(sv.name, row.DataCentre) {
-			return true
+		sv := c.services[row.Service]
+		if sv != nil && row.Kind == work.KindEndpoint && !row.Leaving && snap.MayRun(sv.name, row.DataCentre) {
+			sv.placeable = true
 		}
 	}
-	return false
 }
 
 // wait estimates the wait of a new task behind extra others. Peers of the data
--- a/internal/decide/instance/submit.go
+++ b/internal/decide/instance/submit.go
@@ -218,7 +218,7 @@
 		return fault.From(err)
 	}
 	sv := c.services[s.Service]
-	if !c.placeable(sv) {
+	if !sv.placeable {
 		return no(fault.Unplaceable).WithDetail("no endpoint of the service is live in an allowed data centre")
 	}
 	if len(s.Tasks) > int(sv.limit) {
