--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -248,20 +248,47 @@
 }
 
 // TestRecordSize guards against a record that outgrows a value of the store,
-// with the longest names that are allowed.
+// with the longest names that are allowed, and against one that costs a granter
+// much of its 23 KB/s for control, with names of usual length: it is read and
+// written every 10 s.
 func TestRecordSize(t *testing.T) {
-	is := is.New(t)
+	cases := map[string]struct {
+		services, teams, name, most int
+	}{
+		"longest names": {71, 71, 61, 1 << 19},
+		"design size":   {20, 71, 12, 50_000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := fullRecord(c.services, c.teams, c.name)
+			value, err := r.Value()
+			is.NoErr(err)
+			t.Logf("%d services and %d teams in 7 data centres take %d bytes", c.services, c.teams, len(value))
+			is.True(len(value) < c.most)
+			again, err := quota.ParseRecord(value)
+			is.NoErr(err)
+			is.Equal(again, r)
+		})
+	}
+}
+
+// fullRecord returns a record in which each data centre has shares of all
+// limits.
+func fullRecord(services, teams, length int) quota.Record {
 	var limits []quota.Limit
 	want := map[quota.LimitName]quota.Count{}
-	for i := range 71 {
-		name := fmt.Sprintf("%s-%02d", strings.Repeat("n", 61), i)
+	for i := range teams {
+		name := fmt.Sprintf("%s-%02d", strings.Repeat("n", length), i)
+		if i < services {
+			limits = append(limits, quota.Limit{Name: quota.ServiceLimit(ident.Service(name)), Max: 99_999, DataCentres: dataCentres(7)})
+		}
 		limits = append(limits,
-			quota.Limit{Name: quota.ServiceLimit(ident.Service(name)), Max: 99_999, DataCentres: dataCentres(7)},
 			quota.Limit{Name: quota.TeamLimit(ident.Team(name)), Max: 99_999, DataCentres: dataCentres(7)},
 			quota.Limit{Name: quota.CostLimit(ident.Team(name)), Max: 1e15, PerHour: true, DataCentres: dataCentres(7)})
 	}
-	for _, l := range limits {
-		want[l.Name] = l.Max
+	for i, l := range limits {
+		want[l.Name] = l.Max - quota.Count(i*i)
 	}
 	var r quota.Record
 	for round := range 14 {
@@ -269,13 +296,7 @@
 		holder := ident.Process{Instance: ident.InstanceID("entry-" + dc), Incarnation: 1 << 63}
 		r, _ = quota.Rebalance(r, dc, quota.Demand{Granter: holder, Attempt: uint64(round), Limits: limits, Want: want}, start)
 	}
-	value, err := r.Value()
-	is.NoErr(err)
-	t.Logf("%d limits in 7 data centres take %d bytes", len(limits), len(value))
-	is.True(len(value) < 1<<19) // half of what the store holds
-	again, err := quota.ParseRecord(value)
-	is.NoErr(err)
-	is.Equal(again, r)
+	return r
 }
 
 // TestStoreCalls guards against store calls that grow with the instances.
--- a/internal/decide/quota/record.go
+++ b/internal/decide/quota/record.go
@@ -1,7 +1,10 @@
 package quota
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"maps"
 	"sort"
 	"time"
@@ -64,19 +67,33 @@
 	if len(value) == 0 {
 		return r, nil
 	}
-	if err := json.Unmarshal(value, &r); err != nil {
+	unpacked, err := gzip.NewReader(bytes.NewReader(value))
+	if err != nil {
+		return Record{}, fault.Wrap(err, fault.Internal, fault.RanNo)
+	}
+	if err := json.NewDecoder(io.LimitReader(unpacked, maxUnpacked)).Decode(&r); err != nil {
 		return Record{}, fault.Wrap(err, fault.Internal, fault.RanNo)
 	}
 	return r, nil
 }
 
-// Value returns the form that ParseRecord reads.
+// maxUnpacked bounds what a value of the store may unpack to.
+const maxUnpacked = 16 << 20
+
+// Value returns the form that ParseRecord reads: JSON, compressed, since each
+// granter reads and writes the whole record every 10 s and names recur in it
+// up to 21 times.
 func (r Record) Value() ([]byte, error) {
-	value, err := json.Marshal(r)
+	var value bytes.Buffer
+	w := gzip.NewWriter(&value)
+	err := json.NewEncoder(w).Encode(r)
+	if closeErr := w.Close(); err == nil {
+		err = closeErr
+	}
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, fault.RanNo)
 	}
-	return value, nil
+	return value.Bytes(), nil
 }
 
 // Demand is what a granter asks the record for.
