Keep two granters that are cut off from each other from taking turns

Two granters of one data centre that both reach the store but not each other replaced one another at each write. Each then held back what the other might have lent, and nobody got units: in the new test none of 4 units was in use 100 s after the cut.

A granter now leaves the record to an unlinked one that wrote since it last looked. The test reaches all 4 units.

--- a/internal/decide/instance/limits.go
+++ b/internal/decide/instance/limits.go
@@ -36,6 +36,10 @@
 	failed            bool
 	retryAt           time.Time
 	nextAsk, nextBack time.Time
+	// rival is an unlinked process that the record named as the granter when
+	// it was last read, at its write rivalAttempt.
+	rival        ident.Process
+	rivalAttempt uint64
 }
 
 // held is what a call holds of the limits.
--- a/internal/decide/instance/limits_test.go
+++ b/internal/decide/instance/limits_test.go
@@ -189,6 +189,17 @@
 	is.Equal(f.busy(40*time.Second, others...), 4)
 }
 
+// TestTwoGranters guards against two granters of a data centre that are out of
+// reach of each other and keep replacing one another, so that no units are lent.
+func TestTwoGranters(t *testing.T) {
+	is := is.New(t)
+	f := newLimited(t, 1, 2, 4, 0)
+	f.busy(30*time.Second, f.nodes...)
+	f.cut(f.nodes[0], f.nodes[1])
+	f.busy(100*time.Second, f.nodes...)
+	is.Equal(f.busy(30*time.Second, f.nodes...), 4)
+}
+
 // TestUnitsReturn guards against units that an instance without work keeps
 // until their lease ends.
 func TestUnitsReturn(t *testing.T) {
--- a/internal/decide/instance/shares.go
+++ b/internal/decide/instance/shares.go
@@ -156,6 +156,11 @@
 	if err != nil {
 		return
 	}
+	if c.yields(record.DataCentres[c.cfg.DataCentre]) {
+		c.limits.failed = true
+		c.limits.retryAt = now.Add(quota.RenewEvery)
+		return
+	}
 	next, attempt := c.limits.granter.Propose(now, record)
 	data, err := next.Value()
 	if err != nil {
@@ -166,6 +171,20 @@
 	c.do(WriteShares{Attempt: attempt, Data: data, Revision: ev.Revision})
 }
 
+// yields reports whether another granter of the data centre, which is out of
+// reach, goes on to write the record. Two that replace each other would both
+// have to hold back what the other may have lent, and nobody got units.
+func (c *Core) yields(h quota.Holder) bool {
+	l := &c.limits
+	p := ident.Process{Instance: h.Granter, Incarnation: h.Incarnation}
+	if p == (ident.Process{}) || c.isSelf(p) || c.links[p] != nil {
+		return false
+	}
+	writes := l.rival == p && l.rivalAttempt != h.Attempt
+	l.rival, l.rivalAttempt = p, h.Attempt
+	return writes
+}
+
 // sharesWritten takes the outcome of a write. Whether a write with a lost
 // reply took effect shows when the record is read next.
 func (c *Core) sharesWritten(now time.Time, ev SharesWritten) {
