--- a/internal/decide/instance/shares.go
+++ b/internal/decide/instance/shares.go
@@ -129,21 +129,36 @@
 	})
 }
 
-// renew reads the record when the granter's next write is due.
+// renew reads the record when the granter's next write is due, or earlier.
 func (c *Core) renew(now time.Time) {
 	l := &c.limits
-	if !l.granting || l.renewing || now.Before(l.retryAt) || !l.failed && now.Before(l.granter.RenewAt()) {
+	if !l.granting || l.renewing || now.Before(l.retryAt) {
+		return
+	}
+	if !l.failed && now.Before(l.granter.RenewAt()) && !c.renewEarly(now) {
 		return
 	}
-	c.readShares()
-}
-
-func (c *Core) readShares() {
 	c.limits.renewing = true
 	c.count.ShareReads++
 	c.do(ReadShares{})
 }
 
+// renewEarly reports whether to write before the time since instances want
+// units that their data centre lacks. Once in quota.RenewEvery bounds it to two
+// writes in that time.
+func (c *Core) renewEarly(now time.Time) bool {
+	l := &c.limits
+	if now.Before(l.earlyAt) {
+		return false
+	}
+	if !l.granter.Wanting(now) {
+		l.earlyAt = now.Add(askShort)
+		return false
+	}
+	l.earlyAt = now.Add(quota.RenewEvery)
+	return true
+}
+
 // sharesRead proposes the next record in place of the one just read.
 func (c *Core) sharesRead(now time.Time, ev SharesRead) {
 	c.limits.renewing = false
@@ -156,6 +171,11 @@
 	if err != nil {
 		return
 	}
+	if c.yields(record.DataCentres[c.cfg.DataCentre]) {
+		c.limits.failed = true
+		c.limits.retryAt = now.Add(quota.RenewEvery)
+		return
+	}
 	next, attempt := c.limits.granter.Propose(now, record)
 	data, err := next.Value()
 	if err != nil {
@@ -166,6 +186,20 @@
 	c.do(WriteShares{Attempt: attempt, Data: data, Revision: ev.Revision})
 }
 
+// yields reports whether another granter of the data centre, which is out of
+// reach, goes on to write the record. Two that replace each other would both
+// have to hold back what the other may have lent, and nobody got units.
+func (c *Core) yields(h quota.Holder) bool {
+	l := &c.limits
+	p := ident.Process{Instance: h.Granter, Incarnation: h.Incarnation}
+	if p == (ident.Process{}) || c.isSelf(p) || c.links[p] != nil {
+		return false
+	}
+	writes := l.rival == p && l.rivalAttempt != h.Attempt
+	l.rival, l.rivalAttempt = p, h.Attempt
+	return writes
+}
+
 // sharesWritten takes the outcome of a write. Whether a write with a lost
 // reply took effect shows when the record is read next.
 func (c *Core) sharesWritten(now time.Time, ev SharesWritten) {
