Send the list to a peer without one across data centres

Cause: an instance sent its list only to peers of its own data centre. Ruled out: the link and the configuration, which both arrived. Change: a peer whose heartbeat says that it has no list is sent ours, whatever its data centre. Later versions still come from its own data centre. Result: TestStoreDown waited 30 s in vain for the restarted entry-3 before; it is ready within the test's 5 s after. Tests of internal/decide/instance pass.

--- a/internal/decide/instance/peer.go
+++ b/internal/decide/instance/peer.go
@@ -254,7 +254,9 @@
 	}
 	c.peerLoad(now, p, m.Load)
 	c.pushConfig(now, p, l, ident.Revision(m.ConfigRevision))
-	if m.ListVersion < c.members.ListVersion() && l.dataCentre == c.cfg.DataCentre {
+	// A peer without a list may be the only instance of its data centre, and
+	// the store may be down.
+	if m.ListVersion < c.members.ListVersion() && (m.ListVersion == 0 || l.dataCentre == c.cfg.DataCentre) {
 		c.sendList(p)
 	}
 }
