Read the store with other instances while the reader gets no answer

Cause: one instance reads the store for its data centre; if only its own path to the store is broken, the data centre got no new configuration or list. Change: the reader says in its heartbeat when it had no answer for 5 s, and its peers then read too, until it has one again. Weighed: another choice of reader (needs an agreed view of who reaches the store). Seen failing: with one reader only, TestReaderWithoutStore saw revision 1 on all instances after 15 s.

--- a/internal/decide/instance/core.go
+++ b/internal/decide/instance/core.go
@@ -112,11 +112,13 @@
 	nextAsk     time.Time
 	memberSeen  uint64
 	reading     bool
-	draining    bool
-	replaced    bool
-	left        bool
-	out         []Action
-	count       Counters
+	// lastRead is when the list was last read here, or when reading began.
+	lastRead time.Time
+	draining bool
+	replaced bool
+	left     bool
+	out      []Action
+	count    Counters
 }
 
 // Counters counts decisions since the start.
--- a/internal/decide/instance/fleet_test.go
+++ b/internal/decide/instance/fleet_test.go
@@ -65,6 +65,8 @@
 	pausedUntil time.Time
 	waiting     []instance.Event
 	reading     bool
+	// storeless is true while only this node can't reach the store.
+	storeless   bool
 	revision    ident.Revision
 	calls       map[uint64]*running
 	requests    map[uint64]*submitted
@@ -291,7 +293,7 @@
 
 func (f *fleet) readStore() {
 	for _, n := range f.nodes {
-		if n.reading && !f.storeDown {
+		if n.reading && !n.storeless && !f.storeDown {
 			f.handle(n, instance.Listed{Instances: slices.Clone(f.listed)})
 			f.handle(n, instance.ConfigRead{Revision: f.revision})
 		}
--- a/internal/decide/instance/peer.go
+++ b/internal/decide/instance/peer.go
@@ -15,6 +15,8 @@
 type link struct {
 	dataCentre ident.DataCentre
 	draining   bool
+	// storeFailing is true when the peer reads the store and gets no answer.
+	storeFailing bool
 	// pushed is when the configuration was last sent over the link.
 	pushed time.Time
 	// unconfirmed are the attempts that the peer had before this link.
@@ -250,6 +252,7 @@
 func (c *Core) heartbeat(now time.Time, p ident.Process, m *peerpb.Heartbeat) {
 	l := c.links[p]
 	l.draining = m.Draining
+	l.storeFailing = m.StoreFailing
 	c.changed(now, c.members.Heard(now, member.Heartbeat{
 		Process:     p,
 		DataCentre:  l.dataCentre,
@@ -289,12 +292,13 @@
 // sendHeartbeat tells a peer how this instance stands.
 func (c *Core) sendHeartbeat(now time.Time, p ident.Process, replacedBy ident.Incarnation) {
 	h := &peerpb.Heartbeat{
-		Instance:    string(c.cfg.Self.Instance),
-		Incarnation: uint64(c.cfg.Self.Incarnation),
-		ListVersion: c.members.ListVersion(),
-		Draining:    c.draining,
-		Load:        c.heartbeatLoads(now),
-		ReplacedBy:  uint64(replacedBy),
+		Instance:     string(c.cfg.Self.Instance),
+		Incarnation:  uint64(c.cfg.Self.Incarnation),
+		ListVersion:  c.members.ListVersion(),
+		Draining:     c.draining,
+		StoreFailing: c.storeFailing(now),
+		Load:         c.heartbeatLoads(now),
+		ReplacedBy:   uint64(replacedBy),
 	}
 	if current := c.holder.Current(); current != nil {
 		h.ConfigRevision = current.Revision
@@ -309,6 +313,7 @@
 
 // listed takes the platform's list as this instance read it.
 func (c *Core) listed(now time.Time, rows []work.Instance) {
+	c.lastRead = now
 	c.members.ConfirmStore(now)
 	if sameInstances(rows, c.members.List()) {
 		return
--- /dev/null
+++ b/internal/decide/instance/reader.go
@@ -0,0 +1,30 @@
+package instance
+
+import "time"
+
+// readerPatience is how long the reader of a data centre may go without an
+// answer from the store before its peers read as well. The list is read each
+// second.
+const readerPatience = 5 * time.Second
+
+// chooseReader decides whether this instance reads the store. One instance
+// reads for its data centre; while it gets no answer, the others read too,
+// since only its own path to the store may be broken.
+func (c *Core) chooseReader(now time.Time) {
+	r, _ := c.members.Reader(c.cfg.DataCentre)
+	reads := r == c.cfg.Self.Instance
+	if !reads {
+		p, linked := c.linked(r)
+		reads = !linked || c.links[p].storeFailing
+	}
+	if reads == c.reading {
+		return
+	}
+	c.reading, c.lastRead = reads, now
+	c.do(ReadStore{Active: reads})
+}
+
+// storeFailing reports whether this instance reads the store in vain.
+func (c *Core) storeFailing(now time.Time) bool {
+	return c.reading && now.Sub(c.lastRead) > readerPatience
+}
--- a/internal/decide/instance/tick.go
+++ b/internal/decide/instance/tick.go
@@ -47,6 +47,7 @@
 	if !now.Before(c.nextScan) {
 		c.nextScan = now.Add(scanInterval)
 		c.scan(now)
+		c.chooseReader(now)
 		c.table.Expire(now)
 	}
 	if !now.Before(c.nextAsk) {
@@ -178,10 +179,7 @@
 	c.memberSeen = v
 	c.own(now)
 	c.do(Dial{Targets: c.targets()})
-	if r, _ := c.members.Reader(c.cfg.DataCentre); (r == c.cfg.Self.Instance) != c.reading {
-		c.reading = !c.reading
-		c.do(ReadStore{Active: c.reading})
-	}
+	c.chooseReader(now)
 }
 
 // targets returns the entry instances that the list names besides this one.
