Renew shares early when instances want units

A granter got units for its data centre only with its next regular write, so that the first task under a limit without a floor waited up to 10 s. A process that has just started has no floors, which made this the usual case.

A write is now brought forward when instances want more than the record holds for the data centre, once in 10 s. That is at most two writes in 10 s for each data centre, where section 6 of the design gives one.

--- a/internal/decide/instance/fleet_test.go
+++ b/internal/decide/instance/fleet_test.go
@@ -39,6 +39,8 @@
 	// what is there now and most the highest count.
 	limits, inFlight, most map[quota.LimitName]int
 	record                 sharesRecord
+	// lossy makes writes of the record lose their replies.
+	lossy bool
 	// spent is the cost of all runs at 1000 micros per second.
 	spent quota.Count
 	// perDC and dcs are the planned sizes.
--- a/internal/decide/instance/limits.go
+++ b/internal/decide/instance/limits.go
@@ -32,9 +32,11 @@
 	granting bool
 	// renewing is true while the record is being read or written. The next
 	// read is not made before retryAt, and at retryAt when failed is set.
-	renewing          bool
-	failed            bool
-	retryAt           time.Time
+	renewing bool
+	failed   bool
+	retryAt  time.Time
+	// earlyAt is when a write before its time may be considered next.
+	earlyAt           time.Time
 	nextAsk, nextBack time.Time
 	// rival is an unlinked process that the record named as the granter when
 	// it was last read, at its write rivalAttempt.
--- a/internal/decide/instance/shares.go
+++ b/internal/decide/instance/shares.go
@@ -129,21 +129,36 @@
 	})
 }
 
-// renew reads the record when the granter's next write is due.
+// renew reads the record when the granter's next write is due, or earlier.
 func (c *Core) renew(now time.Time) {
 	l := &c.limits
-	if !l.granting || l.renewing || now.Before(l.retryAt) || !l.failed && now.Before(l.granter.RenewAt()) {
+	if !l.granting || l.renewing || now.Before(l.retryAt) {
+		return
+	}
+	if !l.failed && now.Before(l.granter.RenewAt()) && !c.renewEarly(now) {
 		return
 	}
-	c.readShares()
-}
-
-func (c *Core) readShares() {
 	c.limits.renewing = true
 	c.count.ShareReads++
 	c.do(ReadShares{})
 }
 
+// renewEarly reports whether to write before the time since instances want
+// units that their data centre lacks. Once in quota.RenewEvery bounds it to two
+// writes in that time.
+func (c *Core) renewEarly(now time.Time) bool {
+	l := &c.limits
+	if now.Before(l.earlyAt) {
+		return false
+	}
+	if !l.granter.Wanting(now) {
+		l.earlyAt = now.Add(askShort)
+		return false
+	}
+	l.earlyAt = now.Add(quota.RenewEvery)
+	return true
+}
+
 // sharesRead proposes the next record in place of the one just read.
 func (c *Core) sharesRead(now time.Time, ev SharesRead) {
 	c.limits.renewing = false
--- a/internal/decide/quota/granter.go
+++ b/internal/decide/quota/granter.go
@@ -82,6 +82,30 @@
 // another revision may be repeated at once.
 func (g *Granter) RenewAt() time.Time { return g.renewAt }
 
+// Wanting reports whether the instances want units that the record does not
+// hold for the data centre yet, within what is due to it. A write before
+// RenewAt may then get them sooner.
+func (g *Granter) Wanting(now time.Time) bool {
+	g.update(now)
+	for _, l := range g.limits {
+		held := g.shares[l.Name]
+		if l.PerHour {
+			held = g.spend[l.Name]
+		}
+		if held >= g.due[l.Name] {
+			continue
+		}
+		var want Count
+		for _, h := range g.holders[l.Name] {
+			want += h.wanted(now)
+		}
+		if want > held {
+			return true
+		}
+	}
+	return false
+}
+
 // Request answers an instance. The time must be from after the request
 // arrived. A request that arrives out of order gets no units.
 func (g *Granter) Request(now time.Time, r ShareRequest) ShareGrant {
