--- a/internal/decide/instance/limits_test.go
+++ b/internal/decide/instance/limits_test.go
@@ -224,6 +224,21 @@
 	}
 }
 
+// TestEarlyWritesAreBounded guards against a granter that keeps writing the
+// record for units that a lost data centre still holds.
+func TestEarlyWritesAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := newLimited(t, 2, 1, 4, 0)
+	is.Equal(f.busy(30*time.Second, f.nodes[0]), 4)
+	f.kill(f.nodes[0])
+	before := f.nodes[1].core.Counters().ShareWrites
+	f.busy(20*time.Second, f.nodes[1])
+	is.Equal(f.most[quota.TeamLimit("shop")], 0)
+	is.True(f.nodes[1].core.Counters().ShareWrites-before <= 5) // two in 10 s
+	f.run(40 * time.Second)
+	is.Equal(f.busy(10*time.Second, f.nodes[1]), 4)
+}
+
 // TestRestartWaitsForFloors guards against a process that uses its floor while
 // tasks of its predecessor still run, and against one that never uses it.
 func TestRestartWaitsForFloors(t *testing.T) {
