--- a/internal/decide/instance/shares.go
+++ b/internal/decide/instance/shares.go
@@ -207,6 +207,8 @@
 	if ev.Failure == nil {
 		c.count.ShareRenewed++
 		c.limits.granter.Confirm(now, ev.Attempt)
+		// There may be units for what was asked in vain before the write.
+		c.limits.nextAsk = now
 		return
 	}
 	c.limits.failed = true
