Add benchmarks of routing against a reference and baselines

Cause: the lag and messages of the fleet's routing were estimated on paper only.

Change: BenchmarkRouting drives two real instances, two naive baselines and a reference dispatcher over the same arrivals on loopback, and reports lag, response ratios and messages.

--- /dev/null
+++ b/internal/standin/fleet/bench_test.go
@@ -0,0 +1,306 @@
+package fleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/caller"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/work"
+)
+
+const (
+	// warmUp is left out of the figures: estimates are learned meanwhile.
+	warmUp = 2 * time.Second
+	// benchLength is the time of arrivals, warm-up included.
+	benchLength = 8 * time.Second
+	// callers is the number of callers of each instance, each with its own
+	// connections.
+	callers = 64
+	// drainLimit ends a run whose queues do not empty.
+	drainLimit = 10 * time.Second
+)
+
+const benchFile = `
+services:
+  - name: sheet-render
+    expected-run-time: 100ms
+    idempotent: true
+teams:
+  - name: studio
+`
+
+var benchLoads = map[string]load{
+	"steady-0.5": {share: 0.5, length: benchLength},
+	"steady-0.7": {share: 0.7, length: benchLength},
+	"steady-0.9": {share: 0.9, length: benchLength},
+	// The excess of the burst, 2 s of full capacity, is gone after some 3 s.
+	"burst":     {share: 0.3, burst: 10, length: benchLength},
+	"jobs":      {share: 0.4, jobEvery: 2500 * time.Millisecond, length: benchLength},
+	"failing":   {share: 0.7, failing: true, length: benchLength},
+	"straggler": {share: 0.7, straggling: true, length: benchLength},
+}
+
+// traffic counts messages. An HTTP request and its reply are two, a frame
+// between instances is one; what yamux and TCP add is left out.
+type traffic struct {
+	endpointCalls, statusCalls, refused uint64
+	peerMessages, controlBytes          uint64
+	storeCalls                          uint64
+}
+
+func (t traffic) minus(o traffic) traffic {
+	return traffic{t.endpointCalls - o.endpointCalls, t.statusCalls - o.statusCalls, t.refused - o.refused,
+		t.peerMessages - o.peerMessages, t.controlBytes - o.controlBytes, t.storeCalls - o.storeCalls}
+}
+
+// sample is the outcome of one arrival.
+type sample struct {
+	arrival  arrival
+	response time.Duration
+	failed   bool
+	ended    time.Duration
+}
+
+// outcome is what one run measured.
+type outcome struct {
+	samples  []sample
+	traffic  traffic
+	elapsed  time.Duration
+	badExtra int
+}
+
+// drive sends the schedule to the targets as time passes, whether earlier
+// submissions were answered or not, and waits for the answers.
+func drive(t testing.TB, targets []string, schedule []arrival, atWarmUp func()) []sample {
+	ctx, cancel := context.WithTimeout(context.Background(), benchLength+drainLimit)
+	defer cancel()
+	ids := make([][]ident.SubmissionID, len(targets))
+	clients := make([][]*caller.Client, len(targets))
+	for i, target := range targets {
+		for range callers {
+			clients[i] = append(clients[i], caller.NewClient(target, systemClock))
+		}
+		// Ids are taken before the run, so that each submission is one
+		// exchange.
+		for len(ids[i]) < len(schedule) {
+			got, err := clients[i][0].IDs(ctx, 1000)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ids[i] = append(ids[i], got...)
+		}
+	}
+	samples := make([]sample, len(schedule))
+	var wg sync.WaitGroup
+	began := time.Now()
+	warm := time.AfterFunc(warmUp, atWarmUp)
+	defer warm.Stop()
+	for i, a := range schedule {
+		time.Sleep(time.Until(began.Add(a.at)))
+		at := int(a.instance) % len(targets)
+		call := caller.Call{ID: ids[at][i], Service: "sheet-render", Team: "studio", Deadline: time.Minute}
+		for _, d := range a.tasks {
+			call.Tasks = append(call.Tasks, caller.Task{Input: inputOf(d)})
+		}
+		client := clients[at][int(a.caller)%callers]
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			submit := client.Request
+			if a.job() {
+				submit = client.Job
+			}
+			answer, err := submit(ctx, call)
+			ended := time.Since(began)
+			samples[i] = sample{arrival: a, response: ended - a.at, ended: ended,
+				failed: err != nil || answer.State != work.Complete}
+		}()
+	}
+	wg.Wait()
+	for _, c := range slices.Concat(clients...) {
+		c.Close()
+	}
+	return samples
+}
+
+// statusBody is the part of an instance's status that counts messages.
+type statusBody struct {
+	Store struct{ Calls map[string]uint64 }
+	Calls struct{ Calls, StatusCalls, Busy uint64 } `json:"endpoint-calls"`
+	Peers struct {
+		ControlMessages uint64 `json:"control-messages"`
+		ControlBytes    uint64 `json:"control-bytes"`
+		TrafficFrames   uint64 `json:"traffic-frames"`
+	} `json:"peers"`
+}
+
+// readTraffic adds up the counters of an instance. They are published once a
+// second, so it waits for that long first.
+func readTraffic(t testing.TB, operators []string) traffic {
+	time.Sleep(1100 * time.Millisecond)
+	var sum traffic
+	for _, address := range operators {
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+"/v1/status", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer loopback")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		var s statusBody
+		if err != nil || json.Unmarshal(data, &s) != nil {
+			t.Fatal("the status cannot be read")
+		}
+		sum.endpointCalls += s.Calls.Calls
+		sum.statusCalls += s.Calls.StatusCalls
+		sum.refused += s.Calls.Busy
+		sum.peerMessages += s.Peers.ControlMessages + s.Peers.TrafficFrames
+		sum.controlBytes += s.Peers.ControlBytes
+		for _, n := range s.Store.Calls {
+			sum.storeCalls += n
+		}
+	}
+	return sum
+}
+
+// percentile returns the p-th value of the durations, which it sorts.
+func percentile(all []time.Duration, p float64) time.Duration {
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(int(p*float64(len(all))), len(all)-1)]
+}
+
+// figures are what is compared between policies.
+type figures struct {
+	lag50, lag99, response50, response99, jobLag time.Duration
+	failed, goodput                              float64
+	tasks                                        int
+}
+
+// figuresOf leaves out the warm-up, except from the count of tasks. Failed
+// requests count in failed only. Percentiles are those of single requests.
+func (o *outcome) figuresOf(l load) figures {
+	var f figures
+	var lags, responses, jobs []time.Duration
+	offered, answered, failed := 0, 0, 0
+	for _, s := range o.samples {
+		f.tasks += len(s.arrival.tasks)
+		if s.ended >= warmUp && s.ended < l.length && !s.failed {
+			answered += len(s.arrival.tasks)
+		}
+		if s.arrival.at < warmUp {
+			continue
+		}
+		offered += len(s.arrival.tasks)
+		switch {
+		case s.failed:
+			failed++
+		case s.arrival.job():
+			jobs = append(jobs, s.response-s.arrival.ideal())
+		default:
+			lags = append(lags, s.response-s.arrival.ideal())
+			responses = append(responses, s.response)
+		}
+	}
+	f.lag50, f.lag99 = percentile(lags, 0.5), percentile(lags, 0.99)
+	f.response50, f.response99 = percentile(responses, 0.5), percentile(responses, 0.99)
+	f.jobLag = percentile(jobs, 0.5)
+	f.failed = float64(failed) / float64(len(lags)+len(jobs)+failed)
+	f.goodput = float64(answered) / float64(offered)
+	return f
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// report gives the figures to the benchmark. A task's ideal messages are a
+// request and a reply on the way from the caller, once for each submission,
+// and on the way to the endpoint.
+func report(b *testing.B, l load, o *outcome, reference *figures, instances int) {
+	f := o.figuresOf(l)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(milliseconds(f.lag50), "lag-p50-ms")
+	b.ReportMetric(milliseconds(f.lag99), "lag-p99-ms")
+	if reference != nil {
+		b.ReportMetric(float64(f.response50)/float64(reference.response50), "p50-ratio")
+		b.ReportMetric(float64(f.response99)/float64(reference.response99), "p99-ratio")
+	}
+	if l.jobEvery > 0 {
+		b.ReportMetric(milliseconds(f.jobLag), "job-lag-ms")
+	}
+	tasks, seconds := float64(f.tasks), o.elapsed.Seconds()
+	t := o.traffic
+	total := 2*len(o.samples) + int(2*(t.endpointCalls+t.statusCalls+t.storeCalls)+t.peerMessages)
+	ideal := 2*len(o.samples) + 2*f.tasks
+	b.ReportMetric(float64(total)/tasks, "msgs/task")
+	b.ReportMetric(float64(total-ideal)/tasks, "wasted-msgs/task")
+	b.ReportMetric(float64(t.peerMessages)/tasks, "peer-msgs/task")
+	b.ReportMetric(float64(t.refused)/tasks, "refused/task")
+	b.ReportMetric(float64(t.storeCalls)/seconds/float64(instances), "store-calls/s")
+	b.ReportMetric(float64(t.controlBytes)/seconds/float64(instances), "control-bytes/s")
+	b.ReportMetric(100*f.failed, "failed-%")
+	b.ReportMetric(f.goodput, "goodput")
+	if l.failing {
+		b.ReportMetric(100*float64(o.badExtra)/tasks, "bad-starts-%")
+	}
+}
+
+// BenchmarkRouting compares the fleet with naive baselines and with a
+// reference that knows everything, on the same arrivals.
+func BenchmarkRouting(b *testing.B) {
+	for _, name := range slices.Sorted(mapsKeys(benchLoads)) {
+		l := benchLoads[name]
+		b.Run("load="+name, func(b *testing.B) {
+			var reference *figures
+			for _, p := range policies {
+				b.Run("policy="+p.name, func(b *testing.B) {
+					for i := range b.N {
+						o := p.run(b, l, l.schedule(benchSeed+uint64(i)))
+						if p.name == "reference" {
+							f := o.figuresOf(l)
+							reference = &f
+						}
+						report(b, l, o, reference, p.instances)
+					}
+				})
+			}
+		})
+	}
+}
+
+// TestRouting guards against a benchmark that loses or fails requests: each
+// policy answers a short load of requests and one small job.
+func TestRouting(t *testing.T) {
+	l := load{share: 0.2, length: 200 * time.Millisecond}
+	schedule := l.schedule(benchSeed)
+	for range 20 {
+		schedule[0].tasks = append(schedule[0].tasks, shortFrom)
+	}
+	for _, p := range policies {
+		t.Run(p.name, func(t *testing.T) {
+			is := is.New(t)
+			o := p.run(t, l, schedule)
+			is.Equal(len(o.samples), len(schedule))
+			for i, s := range o.samples {
+				if s.failed {
+					t.Error("failed request " + strconv.Itoa(i))
+				}
+			}
+		})
+	}
+}
