--- a/internal/decide/instance/dispatch.go
+++ b/internal/decide/instance/dispatch.go
@@ -27,10 +27,9 @@
 			break
 		}
 	}
-	switch {
-	case sv.excess(now) > 0:
+	if sv.queue.Len() > 0 {
 		c.offload(now, sv)
-	case sv.queue.Len() == 0:
+	} else {
 		c.steal(now, sv)
 	}
 	c.tell(now, sv)
@@ -47,7 +46,7 @@
 		c.settle(now, t, notRun(t, fault.DeadlineExceeded))
 		return true
 	}
-	choice, ok := sv.pool.PickQueued(now, t.Size, sv.queue.Len()+1, now.Sub(t.Enqueued))
+	choice, ok := sv.pool.Pick(now, t.Size)
 	if !ok {
 		sv.queue.PushFront(t)
 		return false
@@ -214,7 +213,7 @@
 // tell reports to the peers of the data centre that a queue has formed or is
 // gone, since they learn the rest from traffic and heartbeats.
 func (c *Core) tell(now time.Time, sv *service) {
-	n := sv.excess(now)
+	n := sv.queue.Len()
 	if (n > 0) == (sv.told > 0) {
 		return
 	}
--- a/internal/decide/instance/service.go
+++ b/internal/decide/instance/service.go
@@ -132,12 +132,6 @@
 	return s.pool.Estimate(0) * time.Duration(queued-free+1) / time.Duration(slots)
 }
 
-// excess returns the number of queued tasks for which there is no free slot.
-// Those that wait for a faster endpoint by choice are not for peers to take.
-func (s *service) excess(now time.Time) int {
-	return max(0, s.queue.Len()-s.pool.Free(now))
-}
-
 // load describes the service to peers. Its wait is the time until a new task of
 // unknown size would end, so that peers can compare their free slots with ours.
 func (s *service) load(now time.Time) *peerpb.Load {
@@ -148,7 +142,7 @@
 	return &peerpb.Load{
 		Service:   string(s.name),
 		FreeSlots: uint32(max(0, s.pool.Free(now)-s.queue.Len())),
-		Queued:    uint32(s.excess(now)),
+		Queued:    uint32(s.queue.Len()),
 		WaitMs:    uint32(until.Milliseconds()),
 		Slots:     uint32(s.pool.Slots()),
 	}
