--- a/internal/adapter/peer/bench_test.go
+++ b/internal/adapter/peer/bench_test.go
@@ -23,7 +23,7 @@
 			}
 			for i := range services {
 				hb.Load = append(hb.Load, &peerpb.Load{
-					Service: fmt.Sprint("render-", i), FreeSlots: 40, Queued: 300, WaitMs: 250, Slots: 64,
+					Service: fmt.Sprint("render-", i), FreeSlots: 40, Queued: 300, EndMs: 250, Slots: 64,
 				})
 			}
 			batch := &peerpb.Batch{Messages: []*peerpb.Message{{Body: &peerpb.Message_Heartbeat{Heartbeat: hb}}}}
--- a/internal/core/work/work.go
+++ b/internal/core/work/work.go
@@ -122,6 +122,7 @@
 	Free  int
 	// Queued counts the tasks that wait.
 	Queued int
-	// Wait is the estimated wait of a new task.
-	Wait time.Duration
+	// End is the estimated time until a new task of unknown size would end, zero
+	// when it is not known.
+	End time.Duration
 }
--- a/internal/decide/instance/capacity_test.go
+++ b/internal/decide/instance/capacity_test.go
@@ -295,7 +295,7 @@
 	id := c.core.NextIDs(c.now, 1)[0].String()
 	busy := c.beat(c.peers[0], designServices, false)
 	for _, l := range busy.GetHeartbeat().Load {
-		l.FreeSlots, l.Queued, l.WaitMs = 20, 300, 250
+		l.FreeSlots, l.Queued, l.EndMs = 20, 300, 250
 	}
 	tasks, results := &peerpb.Tasks{}, &peerpb.TaskResults{}
 	for i := range 100 {
--- a/internal/decide/instance/dispatch.go
+++ b/internal/decide/instance/dispatch.go
@@ -33,6 +33,10 @@
 			blocked = true
 			break
 		}
+		if c.sendFaster(now, sv, t) {
+			c.unused(now, h)
+			continue
+		}
 		if !c.start(now, sv, t, h) {
 			break
 		}
@@ -74,6 +78,47 @@
 	return true
 }
 
+// fasterShare is the share of the run time here that a peer of the data centre
+// must be below to get a task although slots are free here. A task that moves
+// costs two messages and some 1 ms. At 0.7 of capacity, 0.7 took 0.38 messages
+// between instances per task, and 0.5 took 0.12 to 0.18.
+const fasterShare = 0.5
+
+// sentShare is by how much each task sent raises a peer's reported run time
+// until its next report, since the fastest slots are taken first.
+const sentShare = 0.1
+
+// favourResponse is the response weight from which a service spends messages on
+// faster slots: measured at 0.7 of capacity, p99 lag falls by 10% and wasted
+// messages rise from 0.02 to 0.16 per task.
+const favourResponse = 0.5
+
+// sendFaster sends a task to a peer of the data centre whose free slots are
+// much faster than those here. It reports false when there is none, or when the
+// service weighs messages more than response time.
+func (c *Core) sendFaster(now time.Time, sv *service, t *work.Task) bool {
+	here, ok := sv.pool.Next(now)
+	if !ok || !c.ownTask(t) || sv.conf.ResponseWeight < favourResponse {
+		return false
+	}
+	var to ident.Process
+	var best *peerService
+	least := time.Duration(float64(here) * fasterShare)
+	for p, ps := range sv.peers {
+		if ps.near && ps.load.Free > 0 && ps.load.End > 0 && ps.load.End < least &&
+			c.accepts(p) && c.mayMove(now, ps, t) {
+			to, best, least = p, ps, ps.load.End
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.load.Free--
+	best.load.End += time.Duration(float64(best.load.End) * sentShare)
+	c.sendTasks(now, to, []*work.Task{t})
+	return true
+}
+
 // ownTask reports whether a task may be sent to a peer: only tasks homed here,
 // so that a task moves at most once.
 func (c *Core) ownTask(t *work.Task) bool { return c.isSelf(t.Home) }
