Release cancelled tasks of other homes that wait in the queue

Cause: an instance notes the tasks of other homes until their result is sent. A cancelled task that still waited was removed from the queue without a result, so its note stayed until the home died: memory was held, and a later drain never ended by itself. Ruled out: calls under way, which release their task when they end. Change: tasks removed from the queue by a cancellation release their note. Result: after the cancellation of a job of 1,000 tasks, the fleet's end failed with "drain timeout passed with work under way" (TestCancelledJob, 31 s); it now ends in order. Tests of internal/decide/instance pass.

--- a/internal/decide/instance/submit.go
+++ b/internal/decide/instance/submit.go
@@ -165,7 +165,11 @@
 // dropTasks removes a submission's tasks from the queue and aborts its calls.
 func (c *Core) dropTasks(name ident.Service, id ident.SubmissionID, kind fault.Kind) {
 	if sv := c.services[name]; sv != nil {
-		sv.queue.RemoveSubmission(id)
+		for _, t := range sv.queue.RemoveSubmission(id) {
+			if !c.isSelf(t.Home) {
+				c.release(t.Home, t.ID)
+			}
+		}
 	}
 	for n, k := range c.bySubmission[id] {
 		k.aborted = kind
