--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 
 	"hornbeamlift.example/hornbeamlift/internal/adapter/caller"
+	"hornbeamlift.example/hornbeamlift/internal/adapter/platform"
+	"hornbeamlift.example/hornbeamlift/internal/core/clock"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/standin/fleet"
@@ -94,3 +96,70 @@
 		}
 	}
 }
+
+// leavingLimit is the time after which a leaving endpoint gets nothing new.
+const leavingLimit = 3 * time.Second
+
+// TestLeavingEndpoint guards G6: an endpoint that the list shows as leaving
+// gets no new task after 3 s of continuous work, while others do.
+func TestLeavingEndpoint(t *testing.T) {
+	is := is.New(t)
+	ctx, f := startFleet(t)
+	store, err := platform.New(platform.Settings{Address: f.StoreAddress, Clock: clock.System{}})
+	is.NoErr(err)
+	defer store.Close()
+	rows, err := store.Instances(ctx)
+	is.NoErr(err)
+	round := func() {
+		a, err := f.Instances["entry-0"].Client.Job(ctx, job(ident.SubmissionID{}, 100))
+		is.NoErr(err)
+		is.Equal(len(a.Failures), 0)
+	}
+	round()
+	is.True(len(f.Endpoints["worker-0"].StartRecords()) > 0) // it had work before
+	for i := range rows {
+		rows[i].Leaving = rows[i].Leaving || rows[i].ID == "worker-0"
+	}
+	left := time.Now()
+	f.Store.SetInstances(rows)
+	for time.Since(left) < leavingLimit+time.Second {
+		round()
+	}
+	for _, s := range f.Endpoints["worker-0"].StartRecords() {
+		is.True(s.At.Sub(left) < leavingLimit)
+	}
+	others := f.Endpoints["worker-2"].StartRecords()
+	is.True(others[len(others)-1].At.Sub(left) > leavingLimit) // work went on
+}
+
+// TestCancelledJob guards against a cancelled job that keeps its place in the
+// queue: a later request is answered at once, and no more of the job starts.
+func TestCancelledJob(t *testing.T) {
+	is := is.New(t)
+	ctx, f := startFleet(t)
+	c := f.Instances["entry-0"].Client
+	ids, err := c.IDs(ctx, 1)
+	is.NoErr(err)
+	large := job(ids[0], 1000)
+	large.Deadline = 5 * time.Minute
+	for i := range large.Tasks {
+		large.Tasks[i].Input = []byte(`{"run-ms":1000}`)
+	}
+	ended := make(chan work.State, 1)
+	go func() {
+		a, _ := c.Job(ctx, large)
+		ended <- a.State
+	}()
+	for len(f.Starts()) < 8 {
+		is.NoErr(ctx.Err())
+		time.Sleep(time.Millisecond)
+	}
+	a, err := c.Cancel(ctx, ids[0])
+	is.NoErr(err)
+	is.Equal(a.State, work.Failed)
+	is.Equal(<-ended, work.Failed)
+	after, err := c.Job(ctx, job(ident.SubmissionID{}, 50))
+	is.NoErr(err)
+	is.Equal(after.State, work.Complete)
+	is.True(len(f.Starts()) < 500) // most of the job never started
+}
