--- a/internal/standin/fleet/bench_test.go
+++ b/internal/standin/fleet/bench_test.go
@@ -34,6 +34,7 @@
 services:
   - name: sheet-render
     expected-run-time: 100ms
+    response-weight: 1
     idempotent: true
 teams:
   - name: studio
