--- a/internal/decide/instance/fleet_test.go
+++ b/internal/decide/instance/fleet_test.go
@@ -269,6 +269,15 @@
 	}
 }
 
+// leave ends a process that has drained. It must have answered everything.
+func (f *fleet) leave(n *node, a instance.Leave) {
+	if a.Reason == fault.Draining && len(n.requests) > 0 {
+		f.t.Fatalf("seed %d: %s left with %d requests in flight", f.seed, n.id, len(n.requests))
+	}
+	n.left = true
+	f.at(time.Millisecond, func() { f.kill(n) })
+}
+
 // deliver passes on some of the messages that wait.
 func (f *fleet) deliver() {
 	for _, from := range f.nodes {
@@ -354,7 +363,7 @@
 		}
 		n.revision = a.Snapshot.Revision()
 	case instance.Leave:
-		n.left = true
+		f.leave(n, a)
 	}
 	return nil
 }
--- a/internal/decide/instance/schedule_test.go
+++ b/internal/decide/instance/schedule_test.go
@@ -51,6 +51,8 @@
 		f.run(time.Duration(f.rnd.IntN(200)) * time.Millisecond)
 	}
 	f.heal()
+	f.run(12 * time.Second)
+	f.heal() // restarts those that have drained
 	f.run(15 * time.Second)
 	f.check()
 	f.settled()
@@ -86,8 +88,10 @@
 		e.draining = !e.draining
 	case k < 96:
 		e.gone = !e.gone
-	case k < 98:
+	case k < 97:
 		f.storeDown = !f.storeDown
+	case k < 98:
+		f.handle(n, instance.Drain{})
 	case k < 99:
 		f.apply(f.revision.File)
 	default:
