--- a/internal/adapter/platform/policy_test.go
+++ b/internal/adapter/platform/policy_test.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/standin/rapidseed"
 )
 
 // naivePolicy decides from the whole history of calls. It shares no state with
@@ -154,9 +154,5 @@
 	}
 }
 
-// TestMain fixes the seed of the generated histories.
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "20261204")
-	flag.Parse()
-	m.Run()
-}
+// TestMain fixes the seed of the generated tests.
+func TestMain(m *testing.M) { rapidseed.Run(m, nil) }
--- a/internal/decide/claim/record_test.go
+++ b/internal/decide/claim/record_test.go
@@ -11,8 +11,12 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/decide/claim"
+	"hornbeamlift.example/hornbeamlift/internal/standin/rapidseed"
 )
 
+// TestMain fixes the seed of the generated tests.
+func TestMain(m *testing.M) { rapidseed.Run(m, nil) }
+
 var now = time.Unix(1_700_000_000, 0)
 
 func id(instance string, n uint64) ident.SubmissionID {
--- a/internal/decide/config/revision_test.go
+++ b/internal/decide/config/revision_test.go
@@ -1,7 +1,6 @@
 package config_test
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"strconv"
@@ -16,6 +15,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/decide/config"
 	"hornbeamlift.example/hornbeamlift/internal/schema/configpb"
+	"hornbeamlift.example/hornbeamlift/internal/standin/rapidseed"
 )
 
 var epoch = time.UnixMilli(1_700_000_000_000)
@@ -24,12 +24,13 @@
 	return &configpb.File{Services: []*configpb.Service{{Name: "press", MaxRunning: maxRunning}}}
 }
 
+// TestMain fixes the seed of the generated tests.
+func TestMain(m *testing.M) { rapidseed.Run(m, nil) }
+
 // TestHolderNeverReverts guards against a holder that goes back, takes content
 // that does not match its hash, or replaces a revision by another one of the
 // same number. The reference holder keeps every acceptable offer in a list.
 func TestHolderNeverReverts(t *testing.T) {
-	is.New(t).NoErr(flag.Set("rapid.seed", "20261204"))
-	is.New(t).NoErr(flag.Set("rapid.nofailfile", "true"))
 	rapid.Check(t, func(t *rapid.T) {
 		var h config.Holder
 		var accepted []*configpb.Revision
--- a/internal/decide/endpoints/reference_test.go
+++ b/internal/decide/endpoints/reference_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -15,18 +13,14 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/endpoints"
+	"hornbeamlift.example/hornbeamlift/internal/standin/rapidseed"
 )
 
 // TestMain fixes the seed of the generated tests. The cases are long, because a
 // full cycle of ejection takes dozens of outcomes.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"seed": "1", "steps": "600", "checks": "200", "nofailfile": "true", "shrinktime": "3s"} {
-		if err := flag.Set("rapid."+name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	rapidseed.Run(m, map[string]string{
+		"rapid.seed": "1", "rapid.steps": "600", "rapid.checks": "200", "rapid.shrinktime": "3s"})
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/decide/fairqueue/queue_test.go
+++ b/internal/decide/fairqueue/queue_test.go
@@ -1,9 +1,7 @@
 package fairqueue_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -14,20 +12,12 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/fairqueue"
+	"hornbeamlift.example/hornbeamlift/internal/standin/rapidseed"
 )
 
-// TestMain fixes the seed, number and length of the random schedules, apart
-// from what the command line gives.
+// TestMain fixes the seed of the generated tests.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20261204", "rapid.checks": "1000", "rapid.steps": "80"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	rapidseed.Run(m, map[string]string{"rapid.checks": "1000", "rapid.steps": "80"})
 }
 
 var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
--- a/internal/decide/member/view_test.go
+++ b/internal/decide/member/view_test.go
@@ -1,8 +1,6 @@
 package member_test
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,18 +10,11 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/member"
+	"hornbeamlift.example/hornbeamlift/internal/standin/rapidseed"
 )
 
-// TestMain fixes the seed of property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if f := flag.Lookup("rapid.seed"); f != nil && !given {
-		_ = f.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the generated tests.
+func TestMain(m *testing.M) { rapidseed.Run(m, nil) }
 
 const step = 100 * time.Millisecond
 
--- a/internal/decide/quota/schedule_test.go
+++ b/internal/decide/quota/schedule_test.go
@@ -1,9 +1,7 @@
 package quota_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,20 +10,12 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/decide/quota"
+	"hornbeamlift.example/hornbeamlift/internal/standin/rapidseed"
 )
 
-// TestMain fixes the seed, number and length of the random schedules, apart
-// from what the command line gives.
+// TestMain fixes the seed of the generated tests.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.steps": "300"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	rapidseed.Run(m, map[string]string{"rapid.checks": "300", "rapid.steps": "300"})
 }
 
 const (
--- a/internal/decide/retry/budget_test.go
+++ b/internal/decide/retry/budget_test.go
@@ -1,9 +1,7 @@
 package retry_test
 
 import (
-	"flag"
 	"math"
-	"os"
 	"testing"
 	"time"
 
@@ -12,16 +10,11 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/decide/retry"
+	"hornbeamlift.example/hornbeamlift/internal/standin/rapidseed"
 )
 
 // TestMain fixes the seed of the generated tests.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Run(m, map[string]string{"rapid.seed": "1"}) }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/internal/decide/submission/table_test.go
+++ b/internal/decide/submission/table_test.go
@@ -1,8 +1,6 @@
 package submission_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -13,15 +11,11 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/submission"
+	"hornbeamlift.example/hornbeamlift/internal/standin/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the generated tests.
+func TestMain(m *testing.M) { rapidseed.Run(m, nil) }
 
 var (
 	start = time.Unix(1_700_000_000, 0)
