--- a/internal/decide/instance/core.go
+++ b/internal/decide/instance/core.go
@@ -123,11 +123,11 @@
 
 // Counters counts decisions since the start.
 type Counters struct {
-	Submissions, Joined, Refused, Forwarded  uint64
-	Starts, Requeued, Repeated, Hedged       uint64
-	Delegated, Received, Returned, Steals    uint64
-	Succeeded, Failed, Unknown, Expired      uint64
-	Cancelled, Spilled, SilentCalls, Ejected uint64
+	Submissions, Joined, Refused, Forwarded uint64
+	Starts, Requeued, Repeated, Hedged      uint64
+	Delegated, Received, Returned, Steals   uint64
+	Succeeded, Failed, Unknown, Expired     uint64
+	Cancelled, Spilled, SilentCalls         uint64
 	// LimitWaits counts the looks at a task that found no unit for it.
 	LimitWaits, Unplaceable               uint64
 	ShareRequests, ShareGrants            uint64
