--- a/internal/decide/instance/capacity_test.go
+++ b/internal/decide/instance/capacity_test.go
@@ -11,6 +11,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
 	"hornbeamlift.example/hornbeamlift/internal/decide/config"
 	"hornbeamlift.example/hornbeamlift/internal/decide/instance"
+	"hornbeamlift.example/hornbeamlift/internal/decide/quota"
 	"hornbeamlift.example/hornbeamlift/internal/schema/configpb"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
@@ -311,6 +312,10 @@
 		"heartbeat/busy-services=20": busy,
 		"tasks/tasks=100":            {Body: &peerpb.Message_Tasks{Tasks: tasks}},
 		"task-results/tasks=100":     {Body: &peerpb.Message_TaskResults{TaskResults: results}},
+		"share-request": {Body: &peerpb.Message_ShareRequest{ShareRequest: &peerpb.ShareRequest{
+			Request: 1 << 20, Limit: string(quota.TeamLimit("studio-00-bench")), Units: 60}}},
+		"share-grant": {Body: &peerpb.Message_ShareGrant{ShareGrant: &peerpb.ShareGrant{
+			Request: 1 << 20, Limit: string(quota.TeamLimit("studio-00-bench")), Units: 60, LeaseMs: 18_000}}},
 	} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
