--- a/cmd/hornbeamlift/main.go
+++ b/cmd/hornbeamlift/main.go
@@ -37,6 +37,7 @@
 	submitCommand,
 	statusCommand,
 	serveCommand,
+	dispatchCommand,
 	demoCommand,
 	standInCommand,
 }
--- a/internal/adapter/peer/mesh.go
+++ b/internal/adapter/peer/mesh.go
@@ -154,6 +154,14 @@
 	return true
 }
 
+// Retire closes the link to a process, which its owner takes for silent. A new
+// one is dialled.
+func (m *Mesh) Retire(p ident.Process) {
+	if l := m.linkTo(p.Instance); l != nil && l.process == p {
+		l.shutdown()
+	}
+}
+
 func (m *Mesh) linkTo(id ident.InstanceID) *link {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- /dev/null
+++ b/internal/decide/leader/view.go
@@ -0,0 +1,357 @@
+// Package leader decides which instance owns the endpoints. There is no
+// election: each instance follows the most senior one that it hears. Fences at
+// the endpoints keep two owners from doing harm while views differ, and an
+// instance that hears only a minority of the fleet owns no more than its share
+// of its own data centre's endpoints.
+package leader
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+)
+
+// Seniority orders instances; the lowest leads. It is the Unix time in
+// milliseconds at which the process started or was last deposed.
+type Seniority int64
+
+// Config holds the settings of a View.
+type Config struct {
+	Self       ident.Process
+	DataCentre ident.DataCentre
+	// Pulse is the interval of pulses between the leader, its successor and the
+	// others. Slow is the interval between all others.
+	Pulse time.Duration
+	Slow  time.Duration
+	// Silence is how long an instance that pulses may be silent.
+	Silence time.Duration
+	// Settle is how long a new process listens before it may lead.
+	Settle time.Duration
+	// Forget is how long a silent instance counts as part of the fleet when
+	// the store does not list it.
+	Forget time.Duration
+}
+
+// Defaults returns c with its zero fields set to their defaults.
+func (c Config) Defaults() Config {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&c.Pulse, 120*time.Millisecond)
+	set(&c.Slow, 600*time.Millisecond)
+	set(&c.Silence, 500*time.Millisecond)
+	set(&c.Settle, 400*time.Millisecond)
+	set(&c.Forget, 6*time.Second)
+	return c
+}
+
+// Validate returns a failure of kind fault.SettingsInvalid that names the
+// first field that breaks a rule.
+func (c Config) Validate() error {
+	invalid := func(field, detail string) error {
+		return fault.New(fault.SettingsInvalid, fault.RanNo).WithField(field).WithDetail(detail)
+	}
+	switch {
+	case c.Self.Instance == "":
+		return invalid("self", "must name an instance")
+	case c.Pulse <= 0 || c.Slow < c.Pulse:
+		return invalid("pulse", "must be above 0 and at most slow")
+	case c.Silence <= 2*c.Pulse:
+		return invalid("silence", "must exceed two pulses")
+	}
+	return nil
+}
+
+// Pulse is what an instance says of itself.
+type Pulse struct {
+	Seniority Seniority
+	// Epoch is the highest epoch that the instance knows.
+	Epoch    uint64
+	Draining bool
+}
+
+// peer is another instance.
+type peer struct {
+	process    ident.Process
+	dataCentre ident.DataCentre
+	pulse      Pulse
+	// pulsed is set once a pulse has arrived over the present link.
+	pulsed bool
+	linked bool
+	heard  time.Time
+	// listed is when the store last listed the instance.
+	listed   time.Time
+	nextSend time.Time
+}
+
+// View is what one instance believes of the fleet.
+type View struct {
+	cfg       Config
+	seniority Seniority
+	draining  bool
+	epoch     uint64
+	peers     map[ident.InstanceID]*peer
+	started   time.Time
+	ticked    time.Time
+	owner     ident.Process
+	// isolated is set while the instance hears only a minority.
+	isolated bool
+}
+
+// Member is an instance that the store lists.
+type Member struct {
+	Instance   ident.InstanceID
+	DataCentre ident.DataCentre
+}
+
+// New returns the view of a process that starts now. It fails when cfg with its
+// defaults is not valid.
+func New(now time.Time, cfg Config, seniority Seniority) (*View, error) {
+	cfg = cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return &View{cfg: cfg, seniority: seniority, peers: map[ident.InstanceID]*peer{}, started: now, ticked: now}, nil
+}
+
+// Own returns what this instance says of itself.
+func (v *View) Own() Pulse {
+	return Pulse{Seniority: v.seniority, Epoch: v.epoch, Draining: v.draining}
+}
+
+// Epoch returns the highest epoch that is known.
+func (v *View) Epoch() uint64 { return v.epoch }
+
+// Saw raises the highest known epoch.
+func (v *View) Saw(epoch uint64) { v.epoch = max(v.epoch, epoch) }
+
+// Drain makes the instance unfit to lead.
+func (v *View) Drain() { v.draining = true }
+
+// Depose makes this instance the least senior, so that it does not lead again
+// before the others.
+func (v *View) Depose(s Seniority) { v.seniority = max(v.seniority, s) }
+
+// Up takes a new link.
+func (v *View) Up(now time.Time, p ident.Process, dc ident.DataCentre) {
+	v.peers[p.Instance] = &peer{process: p, dataCentre: dc, linked: true, heard: now}
+}
+
+// Down takes the end of a link.
+func (v *View) Down(p ident.Process) {
+	if o := v.peers[p.Instance]; o != nil && o.process == p {
+		o.linked, o.pulsed = false, false
+	}
+}
+
+// Heard takes a pulse.
+func (v *View) Heard(now time.Time, from ident.Process, pulse Pulse) {
+	p := v.peers[from.Instance]
+	if p == nil || p.process != from || !p.linked {
+		return
+	}
+	p.pulse, p.pulsed, p.heard = pulse, true, now
+	v.Saw(pulse.Epoch)
+}
+
+// Listed takes the instances that the store lists.
+func (v *View) Listed(now time.Time, members []Member) {
+	for _, m := range members {
+		if m.Instance == v.cfg.Self.Instance {
+			continue
+		}
+		p := v.peers[m.Instance]
+		if p == nil {
+			p = &peer{process: ident.Process{Instance: m.Instance}, dataCentre: m.DataCentre}
+			v.peers[m.Instance] = p
+		}
+		p.listed = now
+	}
+}
+
+// Owner returns the process that owns the endpoints in this view, and whether
+// it is known yet.
+func (v *View) Owner() (ident.Process, bool) { return v.owner, v.owner.Instance != "" }
+
+// Isolated reports whether this instance hears only a minority of the fleet.
+func (v *View) Isolated() bool { return v.isolated }
+
+// Alive reports whether the process is linked and heard.
+func (v *View) Alive(p ident.Process) bool {
+	o := v.peers[p.Instance]
+	return o != nil && o.process == p && o.linked
+}
+
+// Peers returns the live peers in the order of their ids.
+func (v *View) Peers() []ident.Process {
+	var list []ident.Process
+	for _, p := range v.peers {
+		if p.linked {
+			list = append(list, p.process)
+		}
+	}
+	slices.SortFunc(list, func(a, b ident.Process) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
+	return list
+}
+
+// Tick judges the peers and returns those that are to get a pulse now, and
+// those that fell silent since the last Tick.
+func (v *View) Tick(now time.Time) (pulse, silent []ident.Process) {
+	// A process that was paused must read what waits before it judges others.
+	if gap := now.Sub(v.ticked); gap > 2*v.cfg.Pulse {
+		for _, p := range v.peers {
+			p.heard = p.heard.Add(gap)
+		}
+	}
+	v.ticked = now
+	for id, p := range v.peers {
+		if p.linked && now.Sub(p.heard) > v.allowed(p) {
+			p.linked, p.pulsed = false, false
+			silent = append(silent, p.process)
+		}
+		if !p.linked && now.Sub(p.heard) > v.cfg.Forget && now.Sub(p.listed) > v.cfg.Forget {
+			delete(v.peers, id)
+		}
+	}
+	first, second := v.rank()
+	if now.Sub(v.started) >= v.cfg.Settle && v.owner != first {
+		v.owner = first
+		v.excuse(now)
+	}
+	v.isolated = v.minority(now)
+	for _, p := range v.peers {
+		if p.linked && !now.Before(p.nextSend) {
+			p.nextSend = now.Add(v.interval(p.process, first, second))
+			pulse = append(pulse, p.process)
+		}
+	}
+	return pulse, silent
+}
+
+// excuse gives peers that pulsed at the long interval until now the time for a
+// pulse at the short one.
+func (v *View) excuse(now time.Time) {
+	for _, p := range v.peers {
+		if soon := now.Add(-v.cfg.Silence / 2); p.heard.Before(soon) {
+			p.heard = soon
+		}
+	}
+}
+
+// allowed returns how long a peer may be silent.
+func (v *View) allowed(p *peer) time.Duration {
+	if v.fast(p.process, v.owner) {
+		return v.cfg.Silence
+	}
+	return 4 * v.cfg.Slow
+}
+
+// fast reports whether this instance and p exchange pulses at the short
+// interval because one of them leads.
+func (v *View) fast(p, owner ident.Process) bool {
+	return owner.Instance != "" && (p == owner || owner == v.cfg.Self)
+}
+
+func (v *View) interval(p, first, second ident.Process) time.Duration {
+	if v.fast(p, first) || v.fast(p, second) {
+		return v.cfg.Pulse
+	}
+	return v.cfg.Slow
+}
+
+// rank returns the most senior instance that may lead, and its successor. When
+// all are draining, the most senior of them leads.
+func (v *View) rank() (first, second ident.Process) {
+	type row struct {
+		process ident.Process
+		pulse   Pulse
+	}
+	rows := []row{{v.cfg.Self, v.Own()}}
+	for _, p := range v.peers {
+		if p.linked && p.pulsed {
+			rows = append(rows, row{p.process, p.pulse})
+		}
+	}
+	slices.SortFunc(rows, func(a, b row) int {
+		switch {
+		case a.pulse.Draining != b.pulse.Draining:
+			if a.pulse.Draining {
+				return 1
+			}
+			return -1
+		case a.pulse.Seniority != b.pulse.Seniority:
+			if a.pulse.Seniority < b.pulse.Seniority {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(string(a.process.Instance), string(b.process.Instance))
+	})
+	if len(rows) > 1 {
+		second = rows[1].process
+	}
+	return rows[0].process, second
+}
+
+// known reports whether an instance counts as part of the fleet.
+func (v *View) known(now time.Time, p *peer) bool {
+	return p.linked || now.Sub(p.listed) <= v.cfg.Forget || now.Sub(p.heard) <= v.cfg.Forget
+}
+
+// minority reports whether this instance hears less than half of the fleet,
+// itself included. Of two halves, the one with the lowest instance id counts as
+// the larger.
+func (v *View) minority(now time.Time) bool {
+	heard, all := 1, 1
+	lowest, lowestHeard := v.cfg.Self.Instance, true
+	for id, p := range v.peers {
+		if !v.known(now, p) {
+			continue
+		}
+		all++
+		if p.linked {
+			heard++
+		}
+		if id < lowest {
+			lowest, lowestHeard = id, p.linked
+		}
+	}
+	return 2*heard < all || (2*heard == all && !lowestHeard)
+}
+
+// Mine returns what this instance may own as the leader: everything, or, while
+// it is isolated, the share of its data centre's endpoints that its side has of
+// the data centre's instances.
+func (v *View) Mine(now time.Time) func(id ident.EndpointID, dc ident.DataCentre) bool {
+	if !v.isolated {
+		return func(ident.EndpointID, ident.DataCentre) bool { return true }
+	}
+	type side struct{ heard, all uint32 }
+	sides := map[ident.DataCentre]side{v.cfg.DataCentre: {1, 1}}
+	for _, p := range v.peers {
+		if !v.known(now, p) {
+			continue
+		}
+		s := sides[p.dataCentre]
+		s.all++
+		if p.linked {
+			s.heard++
+		}
+		sides[p.dataCentre] = s
+	}
+	return func(id ident.EndpointID, dc ident.DataCentre) bool {
+		s := sides[dc]
+		if s.heard == 0 {
+			return false
+		}
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(id))
+		return h.Sum32()%s.all < s.heard
+	}
+}
--- /dev/null
+++ b/internal/decide/owner/calls.go
@@ -0,0 +1,320 @@
+package owner
+
+import (
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+)
+
+// Looked takes the result of a Look.
+func (p *Pool) Looked(now time.Time, l *Looked) []Action {
+	e, ok := p.calls[l.Call].(*endpoint)
+	delete(p.calls, l.Call)
+	if !ok {
+		return nil // of an earlier activation
+	}
+	if e.look == l.Call {
+		e.look = 0
+	}
+	switch l.Reply {
+	case OK:
+		p.accept(now, e, l)
+	case Fenced:
+		p.fenced(now, e)
+	default:
+		p.stats.LooksFailed++
+		e.failures++
+		e.nextLook = now.Add(p.cfg.LookRetry << min(e.failures-1, 5))
+	}
+	return p.Tick(now)
+}
+
+// accept takes the lists of an endpoint.
+func (p *Pool) accept(now time.Time, e *endpoint, l *Looked) {
+	if e.seenBorn != l.Born && e.seenBorn != 0 {
+		p.restart(now, e, l)
+	}
+	// Answers on different connections overtake each other.
+	stale := l.Clock < e.clock
+	e.seenBorn = l.Born
+	e.read(now, l.Clock)
+	e.hold, e.failures, e.climb = held, 0, 0
+	e.nextLook = now
+	for _, end := range l.Ended {
+		if end.Number > e.acknowledged {
+			e.acknowledged = end.Number
+			p.ended(now, e, end)
+		}
+	}
+	if stale {
+		return
+	}
+	listed := make(map[runID]bool, len(l.Running))
+	for _, row := range l.Running {
+		id := runID{key: row.Key, run: row.Run}
+		listed[id] = true
+		r := e.runs[id]
+		if r == nil {
+			p.find(now, e, id)
+			continue
+		}
+		r.percent = row.Percent
+		if r.phase == starting && !r.doubted {
+			r.phase, r.mark = running, l.Clock
+		}
+	}
+	p.miss(now, e, l.Clock, listed)
+}
+
+// restart takes note that the endpoint lives anew and runs nothing of before.
+func (p *Pool) restart(now time.Time, e *endpoint, l *Looked) {
+	e.acknowledged, e.until, e.clock = 0, 0, 0
+	e.hold = unseen
+	for _, r := range e.runs {
+		// A start that is on its way may reach the new life.
+		if r.phase == starting && !r.doubted {
+			r.mark = 0
+			continue
+		}
+		p.lose(now, r)
+	}
+	e.read(now, l.Clock)
+}
+
+// find adds a run that this owner did not start. It is adopted when its home
+// has placed it, and otherwise waits for that.
+func (p *Pool) find(now time.Time, e *endpoint, id runID) {
+	r := &run{id: id, endpoint: e, phase: running, began: now}
+	e.runs[id] = r
+	e.unclaimed++
+	p.present[id.key] = append(p.present[id.key], r)
+	for _, b := range p.batches {
+		if b.job != id.key.Job || b.step != id.key.Step {
+			continue
+		}
+		t := b.tasks[id.key.Index]
+		if t == nil || id.key.Occurrence != 0 {
+			continue
+		}
+		t.nextRun = max(t.nextRun, id.run+1)
+		if t.run == nil {
+			p.dequeue(t)
+			p.adopt(now, t, r)
+		}
+		return
+	}
+}
+
+// miss removes the runs that a list of the endpoint's time clock should show
+// and does not.
+func (p *Pool) miss(now time.Time, e *endpoint, clock Moment, listed map[runID]bool) {
+	for id, r := range e.runs {
+		if listed[id] || r.mark == 0 || clock <= r.mark {
+			continue
+		}
+		switch {
+		case r.phase == running, r.phase == stopping && r.stopped:
+			p.lose(now, r)
+		}
+	}
+}
+
+// ended takes one end of a list.
+func (p *Pool) ended(now time.Time, e *endpoint, end Ended) {
+	r := e.runs[runID{key: end.Key, run: end.Run}]
+	if r == nil {
+		return
+	}
+	t := r.task
+	ran := now.Sub(r.began)
+	p.remove(r)
+	if end.How == EndDone && t != nil {
+		e.health.succeed()
+		p.learn(e, t, ran)
+	}
+	if t == nil {
+		return
+	}
+	switch end.How {
+	case EndDone:
+		p.stats.Done++
+		p.finish(t, job.End{Run: end.Run, Outcome: job.Done, Endpoint: e.ID, Ran: ran})
+	case EndFailed:
+		p.stats.Failed++
+		p.rest(now, e)
+		p.finish(t, job.End{Run: end.Run, Outcome: job.Failed, Endpoint: e.ID, Ran: ran})
+	default:
+		p.stats.Lost++
+		p.requeue(t, time.Time{})
+	}
+}
+
+// learn takes the run time of a task.
+func (p *Pool) learn(e *endpoint, t *task, ran time.Duration) {
+	n := &t.batch.needs
+	if n.Estimate <= 0 {
+		return
+	}
+	expected := float64(n.Estimate)
+	if p.far(t.batch, e) {
+		expected *= p.cfg.FarFactor
+	}
+	ratio := float64(ran) / expected
+	e.speed.learn(ratio)
+	p.estimate.learn(ratio)
+}
+
+// rest pauses an endpoint that fails what it starts.
+func (p *Pool) rest(now time.Time, e *endpoint) {
+	if d := e.health.fail(&p.cfg); d > 0 {
+		e.restUntil = now.Add(d)
+	}
+}
+
+// fenced takes note that a look was refused. An endpoint that this owner did
+// not hold yet may only remember an owner that is gone.
+func (p *Pool) fenced(now time.Time, e *endpoint) {
+	if e.hold == unseen && e.climb < maxClimb {
+		p.raise(e)
+		e.nextLook = now
+		return
+	}
+	p.yield(now, e)
+}
+
+// maxClimb bounds the epochs by which a fence rises at once.
+const maxClimb = 1 << 16
+
+// yield leaves an endpoint to another owner for a while. Its runs are given up
+// only then: that owner either stops them or ends them for their homes.
+func (p *Pool) yield(now time.Time, e *endpoint) {
+	p.stats.Fenced++
+	if e.hold == foreign {
+		return
+	}
+	e.hold = foreign
+	e.nextLook = now.Add(p.cfg.ForeignWait)
+	for _, r := range e.runs {
+		if t := r.task; t != nil {
+			p.remove(r)
+			p.requeue(t, now.Add(p.cfg.OrphanWait))
+			continue
+		}
+		p.remove(r)
+	}
+}
+
+// Answered takes the result of a Start or Stop.
+func (p *Pool) Answered(now time.Time, a *Answered) []Action {
+	r, ok := p.calls[a.Call].(*run)
+	delete(p.calls, a.Call)
+	if !ok || r.endpoint.runs[r.id] != r {
+		return nil
+	}
+	if a.Clock > 0 && a.Clock > r.endpoint.clock {
+		r.endpoint.read(now, a.Clock)
+	}
+	if r.stopCall == a.Call {
+		p.stopAnswered(now, r, a)
+	} else {
+		p.startAnswered(now, r, a)
+	}
+	p.dispatch(now)
+	return p.flush()
+}
+
+func (p *Pool) startAnswered(now time.Time, r *run, a *Answered) {
+	e, t := r.endpoint, r.task
+	if t != nil && (a.Reply == OK || a.Reply == Unknown) {
+		t.ran = true
+	}
+	switch a.Reply {
+	case OK:
+		if r.phase == starting {
+			r.phase = running
+		}
+		r.mark = max(r.mark, a.Clock)
+		return
+	case Unknown:
+		r.doubted = true
+		p.stats.StartsRefused++
+		p.stop(r)
+		return
+	case Fenced:
+		p.remove(r)
+		if t != nil {
+			p.requeue(t, time.Time{})
+		}
+		p.yield(now, e)
+		return
+	}
+	p.stats.StartsRefused++
+	p.remove(r)
+	if a.Reply != OldRun && a.Reply != Late {
+		e.restUntil = now.Add(p.cfg.Cooldown)
+		e.health.trial = true
+	}
+	if t == nil {
+		return
+	}
+	if a.Reply == OldRun {
+		t.nextRun += runsAfterOld
+	}
+	t.tries++
+	if t.tries >= maxTries {
+		p.finish(t, job.End{Run: r.id.run, Outcome: job.Refused, Endpoint: e.ID, RetryAfter: p.cfg.RetryAfter})
+		return
+	}
+	p.requeue(t, time.Time{})
+}
+
+const (
+	// runsAfterOld is how far the number of a run rises when an endpoint knows
+	// a later one, which an earlier home of the job started.
+	runsAfterOld = 100
+	// maxTries bounds the starts of one task that endpoints refuse.
+	maxTries = 20
+)
+
+// stop ends a run. It occupies its room until it is gone.
+func (p *Pool) stop(r *run) {
+	if r.phase == stopping {
+		return
+	}
+	r.phase = stopping
+	p.sendStop(r)
+}
+
+func (p *Pool) sendStop(r *run) {
+	e := r.endpoint
+	c := p.call(e)
+	r.stopCall = c.Number
+	p.calls[c.Number] = r
+	p.stats.Stops++
+	p.out = append(p.out, Stop{Call: c, Key: r.id.key, Run: r.id.run})
+}
+
+func (p *Pool) stopAnswered(now time.Time, r *run, a *Answered) {
+	r.stopCall = 0
+	e := r.endpoint
+	switch a.Reply {
+	case OK:
+		r.stopped, r.mark = true, max(r.mark, a.Clock)
+		if e.look == 0 || r.doubted {
+			// A run that never started has no end that a look could wait for.
+			p.glance(now, e)
+		}
+	case Fenced:
+		p.yield(now, e)
+	default:
+		r.nextStop = now.Add(p.cfg.StopRetry)
+	}
+}
+
+// glance looks at an endpoint at once, beside a look that waits.
+func (p *Pool) glance(now time.Time, e *endpoint) {
+	look := Look{Call: p.call(e), Acknowledged: e.acknowledged, Until: e.leaseEnd(now, p.cfg.LeaseMax)}
+	p.calls[look.Number] = e
+	p.stats.Looks++
+	p.out = append(p.out, look)
+}
--- /dev/null
+++ b/internal/decide/owner/dispatch.go
@@ -0,0 +1,170 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+)
+
+// dispatch starts waiting tasks on endpoints with room. Tasks that can still be
+// in time come first, those that must start soonest before the others; tasks
+// that are late already follow.
+func (p *Pool) dispatch(now time.Time) {
+	if !p.active || len(p.waiting) == 0 {
+		return
+	}
+	usable := p.usable(now)
+	if len(usable) == 0 {
+		return
+	}
+	first, _ := slices.BinarySearchFunc(p.waiting, now, func(t *task, now time.Time) int {
+		if t.batch.startBy().Before(now) {
+			return -1
+		}
+		return 1
+	})
+	chosen := p.startRange(now, p.waiting[first:], &usable)
+	chosen = append(chosen, p.startRange(now, p.waiting[:first], &usable)...)
+	if len(chosen) == 0 {
+		return
+	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(t *task) bool { return !t.queued })
+	for _, t := range chosen {
+		p.start(now, t)
+	}
+}
+
+// usable returns the endpoints that may start tasks and have processors free.
+func (p *Pool) usable(now time.Time) []*endpoint {
+	var list []*endpoint
+	for _, e := range p.order {
+		if e.usable(now, p.cfg.MissingWait) && e.free().CPU > 0 && p.mine(e.Endpoint) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// startRange chooses endpoints for tasks in order and occupies their room.
+func (p *Pool) startRange(now time.Time, tasks []*task, usable *[]*endpoint) []*task {
+	var chosen []*task
+	var failed *batch
+	for _, t := range tasks {
+		if len(*usable) == 0 {
+			break
+		}
+		// Tasks of a batch have the same needs.
+		if t.batch == failed || now.Before(t.notBefore) || len(p.present[t.key]) > 0 {
+			continue
+		}
+		e := p.choose(t, *usable)
+		if e == nil {
+			failed = t.batch
+			continue
+		}
+		p.occupy(now, t, e)
+		chosen = append(chosen, t)
+		if e.free().CPU <= 0 || e.health.trial {
+			*usable = slices.DeleteFunc(*usable, func(o *endpoint) bool { return o == e })
+		}
+	}
+	return chosen
+}
+
+// choose returns the endpoint where the task ends first; of like ones, that
+// with the least room left over.
+func (p *Pool) choose(t *task, usable []*endpoint) *endpoint {
+	b := t.batch
+	var best *endpoint
+	var bestTime, bestLeft float64
+	for _, e := range usable {
+		if !p.allowed(b, e) {
+			continue
+		}
+		time := e.speed.ratio
+		if p.far(b, e) {
+			time *= p.cfg.FarFactor
+		}
+		left := float64(e.free().CPU - b.needs.Room.CPU)
+		if best == nil || time < bestTime*(1-likeness) || (time < bestTime*(1+likeness) && left < bestLeft) {
+			best, bestTime, bestLeft = e, time, left
+		}
+	}
+	return best
+}
+
+// likeness is the difference in speed, as a fraction, below which the room
+// decides.
+const likeness = 0.08
+
+// allowed reports whether the endpoint may run another task of the batch.
+func (p *Pool) allowed(b *batch, e *endpoint) bool {
+	n := &b.needs
+	if e.Service != b.service || !n.Room.Fits(e.free()) {
+		return false
+	}
+	if e.health.trial && len(e.runs) > 0 {
+		return false
+	}
+	if n.RequiredLabel != "" && !slices.Contains(e.Labels, n.RequiredLabel) {
+		return false
+	}
+	if n.SameRack && b.rack != "" && e.Rack != b.rack {
+		return false
+	}
+	return n.MaxPerEndpoint == 0 || e.count(b) < n.MaxPerEndpoint
+}
+
+// count returns how many runs of the batch's step are on the endpoint.
+func (e *endpoint) count(b *batch) int {
+	n := 0
+	for id := range e.runs {
+		if id.key.Job == b.job && id.key.Step == b.step {
+			n++
+		}
+	}
+	return n
+}
+
+// far reports whether the endpoint is away from the data of the batch.
+func (p *Pool) far(b *batch, e *endpoint) bool {
+	return b.needs.Affinity != "" && !slices.Contains(e.Labels, b.needs.Affinity)
+}
+
+// occupy takes room for a run of the task.
+func (p *Pool) occupy(now time.Time, t *task, e *endpoint) {
+	r := &run{
+		id: runID{key: t.key, run: t.nextRun}, endpoint: e, task: t, room: t.batch.needs.Room,
+		phase: starting, claimed: true, began: now,
+	}
+	e.runs[r.id] = r
+	e.used = e.used.Plus(r.room)
+	p.present[t.key] = append(p.present[t.key], r)
+	t.run, t.queued = r, false
+	t.waited = now.Sub(t.batch.placed)
+	if t.batch.needs.SameRack && t.batch.rack == "" {
+		t.batch.rack = e.Rack
+	}
+}
+
+// start sends the start of a run whose room is taken.
+func (p *Pool) start(now time.Time, t *task) {
+	r := t.run
+	e := r.endpoint
+	s := Start{Call: p.call(e), Key: t.key, Run: r.id.run, Payload: t.batch.payload, Until: e.leaseEnd(now, p.cfg.LeaseMax)}
+	p.calls[s.Number] = r
+	p.stats.Starts++
+	p.out = append(p.out, s)
+}
+
+// Room returns the room of all endpoints of a service that may be used, and
+// what of it is taken.
+func (p *Pool) Room(now time.Time) (all, used job.Room) {
+	for _, e := range p.order {
+		if e.usable(now, p.cfg.MissingWait) {
+			all, used = all.Plus(e.Room), used.Plus(e.used)
+		}
+	}
+	return all, used
+}
--- /dev/null
+++ b/internal/decide/owner/order.go
@@ -0,0 +1,214 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+)
+
+// Place takes tasks of a home. Tasks that the pool has already are left as they
+// are, and runs that it found on endpoints are adopted.
+func (p *Pool) Place(now time.Time, home ident.Process, orders []job.Order) []Action {
+	for i := range orders {
+		p.place(now, home, &orders[i])
+	}
+	p.dispatch(now)
+	return p.flush()
+}
+
+func (p *Pool) place(now time.Time, home ident.Process, o *job.Order) {
+	id := batchID{home: home, job: o.Job, step: o.Step}
+	if !p.active {
+		p.handBack(home, o)
+		return
+	}
+	b := p.batches[id]
+	if b == nil {
+		b = &batch{
+			home: home, job: o.Job, step: o.Step, service: o.Service, payload: o.Payload, needs: o.Needs,
+			placed: now, target: now.Add(o.Target), deadline: now.Add(o.Deadline), tasks: map[int]*task{},
+		}
+		p.batches[id] = b
+	}
+	for i, index := range o.Indexes {
+		if b.tasks[index] == nil {
+			p.add(now, b, index, o.FirstRuns[i], o.Handed)
+		}
+	}
+}
+
+// handBack returns tasks that another owner should get.
+func (p *Pool) handBack(home ident.Process, o *job.Order) {
+	for _, index := range o.Indexes {
+		key := job.Key{Job: o.Job, Step: o.Step, Index: index}
+		p.ends[home] = append(p.ends[home], job.End{Key: key, Outcome: job.Unowned})
+	}
+}
+
+// add takes one task. Runs of its key that are on an endpoint are adopted if
+// nobody else wants them, and stopped otherwise.
+func (p *Pool) add(now time.Time, b *batch, index, firstRun int, handed bool) {
+	t := &task{
+		batch:   b,
+		key:     job.Key{Job: b.job, Step: b.step, Index: index},
+		nextRun: firstRun,
+	}
+	b.tasks[index] = t
+	for _, r := range p.present[t.key] {
+		t.nextRun = max(t.nextRun, r.id.run+1)
+		if t.run == nil && !r.claimed && r.phase == running {
+			p.adopt(now, t, r)
+			continue
+		}
+		if r.task != nil {
+			p.abandon(r.task)
+		}
+		p.stop(r)
+	}
+	if t.run != nil {
+		return
+	}
+	if handed && !p.sawAll() {
+		t.notBefore = now.Add(p.cfg.OrphanWait)
+	}
+	p.enqueue(t)
+}
+
+// abandon drops a task whose job was submitted again through another home.
+func (p *Pool) abandon(t *task) {
+	p.drop(t)
+	if t.run != nil {
+		t.run.task, t.run = nil, nil
+	}
+}
+
+// adopt takes over a run that another owner started.
+func (p *Pool) adopt(now time.Time, t *task, r *run) {
+	e := r.endpoint
+	r.claimed, r.room, r.task, t.run = true, t.batch.needs.Room, t, r
+	r.began = now
+	t.ran = true
+	e.unclaimed--
+	e.used = e.used.Plus(r.room)
+	p.stats.Adopted++
+}
+
+// sawAll reports whether every endpoint obeys this owner, so that the lists
+// show everything that runs.
+func (p *Pool) sawAll() bool {
+	return !slices.ContainsFunc(p.order, func(e *endpoint) bool { return e.hold != held })
+}
+
+// Withdraw ends all tasks of a job that the home no longer wants.
+func (p *Pool) Withdraw(now time.Time, home ident.Process, id job.ID) []Action {
+	for key, b := range p.batches {
+		if key.home == home && key.job == id {
+			p.withdraw(now, b)
+		}
+	}
+	p.dispatch(now)
+	return p.flush()
+}
+
+// HomeLost ends all tasks of a home that is gone.
+func (p *Pool) HomeLost(now time.Time, home ident.Process) []Action {
+	for key, b := range p.batches {
+		if key.home == home {
+			p.withdraw(now, b)
+		}
+	}
+	p.dispatch(now)
+	return p.flush()
+}
+
+func (p *Pool) withdraw(now time.Time, b *batch) {
+	for _, t := range b.tasks {
+		r := t.run
+		p.drop(t)
+		if r != nil {
+			r.task, t.run = nil, nil
+			p.stop(r)
+		}
+	}
+}
+
+// drop forgets a task.
+func (p *Pool) drop(t *task) {
+	p.dequeue(t)
+	delete(t.batch.tasks, t.key.Index)
+	if len(t.batch.tasks) == 0 {
+		delete(p.batches, batchID{home: t.batch.home, job: t.batch.job, step: t.batch.step})
+	}
+}
+
+// finish reports the end of a task and forgets it.
+func (p *Pool) finish(t *task, end job.End) {
+	end.Key, end.Waited = t.key, t.waited
+	p.ends[t.batch.home] = append(p.ends[t.batch.home], end)
+	p.drop(t)
+}
+
+// expire gives up waiting tasks that cannot end before their deadline.
+func (p *Pool) expire(now time.Time) {
+	var late []*task
+	for _, t := range p.waiting {
+		if !now.Before(t.batch.deadline) {
+			late = append(late, t)
+		}
+	}
+	for _, t := range late {
+		p.giveUp(now, t)
+	}
+}
+
+// giveUp ends a task that waits.
+func (p *Pool) giveUp(now time.Time, t *task) {
+	t.waited = now.Sub(t.batch.placed)
+	p.stats.Refused++
+	outcome := job.Refused
+	if t.ran || !t.notBefore.IsZero() {
+		outcome = job.Overdue
+	}
+	p.finish(t, job.End{Outcome: outcome, RetryAfter: p.cfg.RetryAfter})
+}
+
+// requeue lets a task wait for another run.
+func (p *Pool) requeue(t *task, notBefore time.Time) {
+	t.run = nil
+	t.nextRun++
+	if notBefore.After(t.notBefore) {
+		t.notBefore = notBefore
+	}
+	p.enqueue(t)
+}
+
+// startBy returns when a task must start to end in time on an average endpoint.
+func (b *batch) startBy() time.Time { return b.target.Add(-b.needs.Estimate) }
+
+// enqueue inserts a task into the queue, which is sorted by startBy.
+func (p *Pool) enqueue(t *task) {
+	if t.queued {
+		return
+	}
+	t.queued = true
+	by := t.batch.startBy()
+	at, _ := slices.BinarySearchFunc(p.waiting, by, func(o *task, by time.Time) int {
+		if o.batch.startBy().After(by) {
+			return 1
+		}
+		return -1
+	})
+	p.waiting = slices.Insert(p.waiting, at, t)
+}
+
+func (p *Pool) dequeue(t *task) {
+	if !t.queued {
+		return
+	}
+	t.queued = false
+	if i := slices.Index(p.waiting, t); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+	}
+}
--- /dev/null
+++ b/internal/decide/owner/pool.go
@@ -0,0 +1,267 @@
+package owner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+)
+
+// Pool is the state of an owner: its endpoints, what runs there, and the tasks
+// that wait. While it is not active it only knows the list of endpoints.
+type Pool struct {
+	cfg    Config
+	active bool
+	fence  Fence
+	// from is when the pool became active.
+	from time.Time
+	// mine selects the endpoints to own.
+	mine      func(Endpoint) bool
+	endpoints map[ident.EndpointID]*endpoint
+	order     []*endpoint // by id, so that decisions repeat
+	batches   map[batchID]*batch
+	waiting   []*task // by startBy
+	// present holds the runs of each task that occupy an endpoint.
+	present map[job.Key][]*run
+	calls   map[uint64]any // *endpoint of a look, *run of a start or stop
+	number  uint64
+	ends    map[ident.Process][]job.End
+	out     []Action
+	stats   Stats
+	// estimate learns the ratio of run time to estimate over all endpoints.
+	estimate speed
+}
+
+// Stats counts what the pool did.
+type Stats struct {
+	Starts, Done, Failed, Lost, Refused, Stops, Looks, LooksFailed uint64
+	Fenced, Adopted, Unclaimed, Restarts, StartsRefused            uint64
+	Waiting, Running, Held, Foreign, Endpoints                     int
+}
+
+// New returns an inactive pool. It fails when cfg with its defaults is not
+// valid.
+func New(cfg Config) (*Pool, error) {
+	cfg = cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	p := &Pool{cfg: cfg, endpoints: map[ident.EndpointID]*endpoint{}}
+	p.clear()
+	return p, nil
+}
+
+func (p *Pool) clear() {
+	p.batches = map[batchID]*batch{}
+	p.waiting = nil
+	p.present = map[job.Key][]*run{}
+	p.calls = map[uint64]any{}
+	p.ends = map[ident.Process][]job.End{}
+	p.estimate = speed{ratio: 1}
+	for _, e := range p.endpoints {
+		e.forget()
+	}
+}
+
+// forget drops what an owner knows of an endpoint beyond its entry.
+func (e *endpoint) forget() {
+	*e = endpoint{Endpoint: e.Endpoint, missingFrom: e.missingFrom, runs: map[runID]*run{}, speed: speed{ratio: 1}}
+}
+
+// Active reports whether the pool owns endpoints.
+func (p *Pool) Active() bool { return p.active }
+
+// Epoch returns the highest epoch that the pool has used.
+func (p *Pool) Epoch() uint64 { return p.fence.Epoch() }
+
+// Stats returns the counters and the present sizes.
+func (p *Pool) Stats() Stats {
+	s := p.stats
+	s.Waiting, s.Endpoints = len(p.waiting), len(p.order)
+	for _, e := range p.order {
+		s.Running += len(e.runs)
+		switch e.hold {
+		case held:
+			s.Held++
+		case foreign:
+			s.Foreign++
+		}
+	}
+	return s
+}
+
+// Activate makes the pool the owner of the endpoints that mine selects, under
+// the fence. What an earlier activation knew is dropped: looks find what runs,
+// and the homes place their tasks again.
+func (p *Pool) Activate(now time.Time, fence Fence, mine func(Endpoint) bool) []Action {
+	p.clear()
+	p.active, p.fence, p.mine, p.from = true, fence, mine, now
+	for _, e := range p.order {
+		e.fence = fence
+	}
+	return p.Tick(now)
+}
+
+// Select changes which endpoints an active pool owns.
+func (p *Pool) Select(mine func(Endpoint) bool) { p.mine = mine }
+
+// Deactivate ends the ownership. Leases run on until another owner renews them.
+func (p *Pool) Deactivate() {
+	p.active = false
+	p.clear()
+}
+
+// SetEndpoints takes the list. Endpoints without an entry are kept while they
+// run something.
+func (p *Pool) SetEndpoints(now time.Time, list []Endpoint) []Action {
+	listed := make(map[ident.EndpointID]bool, len(list))
+	for _, entry := range list {
+		listed[entry.ID] = true
+		e := p.endpoints[entry.ID]
+		if e == nil {
+			e = &endpoint{Endpoint: entry}
+			e.forget()
+			e.fence = p.fence
+			p.endpoints[entry.ID] = e
+			p.order = append(p.order, e)
+		}
+		if e.Address != entry.Address {
+			e.failures, e.nextLook = 0, time.Time{}
+		}
+		e.Endpoint = entry
+		e.missingFrom = time.Time{}
+	}
+	p.order = slices.DeleteFunc(p.order, func(e *endpoint) bool {
+		if listed[e.ID] {
+			return false
+		}
+		if e.missingFrom.IsZero() {
+			e.missingFrom = now
+		}
+		gone := len(e.runs) == 0 && now.Sub(e.missingFrom) >= p.cfg.MissingWait
+		if gone {
+			delete(p.endpoints, e.ID)
+		}
+		return gone
+	})
+	slices.SortFunc(p.order, func(a, b *endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return p.Tick(now)
+}
+
+// Tick does what is due: looks, stops, refusals and starts.
+func (p *Pool) Tick(now time.Time) []Action {
+	if p.active {
+		for _, e := range p.order {
+			p.tend(now, e)
+		}
+		p.expire(now)
+		p.dispatch(now)
+	}
+	return p.flush()
+}
+
+// tend keeps the lease of an endpoint and what should stop there.
+func (p *Pool) tend(now time.Time, e *endpoint) {
+	if e.look == 0 && !now.Before(e.nextLook) && (p.mine(e.Endpoint) || len(e.runs) > 0) {
+		p.lookAt(now, e)
+	}
+	if e.failures > 0 && len(e.runs) > 0 && e.lapsed(now, p.cfg.ClockError) {
+		p.loseAll(now, e)
+	}
+	for _, r := range e.runs {
+		if !r.claimed && r.phase != stopping && now.Sub(p.from) >= p.cfg.AdoptWait {
+			p.stats.Unclaimed++
+			p.stop(r)
+		}
+		if r.phase == stopping && !r.stopped && r.stopCall == 0 && !now.Before(r.nextStop) {
+			p.sendStop(r)
+		}
+	}
+}
+
+// lookAt renews the lease of an endpoint and asks for its lists.
+func (p *Pool) lookAt(now time.Time, e *endpoint) {
+	wait := p.cfg.LookWait
+	if e.hold == foreign {
+		p.raise(e)
+	}
+	switch {
+	case e.hold != held || e.failures > 0:
+		wait = 0
+	case len(e.runs) == 0:
+		wait = p.cfg.IdleWait
+	}
+	look := Look{Call: p.call(e), Acknowledged: e.acknowledged, Wait: wait}
+	if e.clock > 0 {
+		look.Until = e.leaseEnd(now, p.cfg.LeaseMax)
+	}
+	e.look = look.Number
+	p.calls[look.Number] = e
+	p.stats.Looks++
+	p.out = append(p.out, look)
+}
+
+// raise prepares to take over an endpoint that has seen a higher fence.
+func (p *Pool) raise(e *endpoint) {
+	e.climb = max(1, 2*e.climb)
+	e.fence = max(e.fence, p.fence).raised(e.climb)
+	p.fence = max(p.fence, e.fence)
+}
+
+func (p *Pool) call(e *endpoint) Call {
+	p.number++
+	return Call{Number: p.number, Endpoint: e.ID, Address: e.Address, Fence: e.fence}
+}
+
+// loseAll gives up all runs of an endpoint that have surely ended, or that
+// another owner has taken over. Their tasks start elsewhere.
+func (p *Pool) loseAll(now time.Time, e *endpoint) {
+	for _, r := range e.runs {
+		p.lose(now, r)
+	}
+}
+
+// lose removes a run that ended without a result.
+func (p *Pool) lose(now time.Time, r *run) {
+	t := r.task
+	p.remove(r)
+	if t == nil {
+		return
+	}
+	p.stats.Lost++
+	p.requeue(t, time.Time{})
+}
+
+// remove frees what a run occupied.
+func (p *Pool) remove(r *run) {
+	e := r.endpoint
+	delete(e.runs, r.id)
+	if r.claimed {
+		e.used = e.used.Minus(r.room)
+	} else {
+		e.unclaimed--
+	}
+	if r.task != nil && r.task.run == r {
+		r.task.run = nil
+	}
+	r.task = nil
+	left := slices.DeleteFunc(p.present[r.id.key], func(o *run) bool { return o == r })
+	if len(left) == 0 {
+		delete(p.present, r.id.key)
+		return
+	}
+	p.present[r.id.key] = left
+}
+
+// flush returns the actions and reports since the last call.
+func (p *Pool) flush() []Action {
+	out := p.out
+	p.out = nil
+	for to, ends := range p.ends {
+		out = append(out, Report{To: to, Ends: ends})
+	}
+	clear(p.ends)
+	return out
+}
--- /dev/null
+++ b/internal/process/dispatch/jobs.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/home"
+	"hornbeamlift.example/hornbeamlift/internal/decide/route"
+)
+
+// Jobs is what callers' requests are served with.
+type Jobs struct{ process *Process }
+
+// Match is the route of a request.
+type Match struct {
+	Route route.Route
+	// Rest is the path behind the route's prefix.
+	Rest string
+	// BodyLimit bounds the request's body, in bytes; zero means the default.
+	BodyLimit int64
+	// ConfigVersion is the version that the route was found in.
+	ConfigVersion uint64
+}
+
+// Match finds the route of a request. Its failure is a *fault.Error of kind
+// fault.ConfigMissing or fault.UnknownService.
+func (j *Jobs) Match(host, path string) (Match, error) {
+	c := j.process.config.Load()
+	if c == nil {
+		return Match{}, fault.New(fault.ConfigMissing, fault.RanNo).WithRetryAfter(time.Second)
+	}
+	r, rest, ok := c.table.Match(host, path)
+	if !ok {
+		return Match{}, fault.New(fault.UnknownService, fault.RanNo).WithField("path")
+	}
+	return Match{Route: r, Rest: rest, BodyLimit: c.table.Limits.BodyBytes, ConfigVersion: c.table.Version}, nil
+}
+
+// Submit runs a job and returns its answer. It fails when the caller has left
+// or the process ends.
+func (j *Jobs) Submit(ctx context.Context, m Match, spec job.Spec, deadline time.Duration) (home.Answer, error) {
+	p := j.process
+	reply := make(chan home.Answer, 1)
+	terms := home.Terms{
+		Route: m.Route.Name, Service: m.Route.Service, Attempts: m.Route.Attempts, Stretch: m.Route.Stretch,
+		Latency: m.Route.Latency, Timeout: m.Route.Timeout, ConfigVersion: m.ConfigVersion,
+	}
+	var request home.Request
+	p.post(func(now time.Time) {
+		p.next++
+		request = p.next
+		p.wait[request] = reply
+		p.runActions(now, p.table.Submit(now, request, spec, terms, deadline))
+	})
+	select {
+	case a := <-reply:
+		return a, nil
+	case <-ctx.Done():
+	case <-p.ctx.Done():
+	}
+	p.post(func(now time.Time) {
+		delete(p.wait, request)
+		p.runActions(now, p.table.Leave(now, spec.ID, request))
+	})
+	return home.Answer{}, fault.New(fault.Cancelled, fault.RanUnknown)
+}
+
+// Rejected logs a job that was refused before anything started.
+func (j *Jobs) Rejected(m Match, id job.ID, f *fault.Error) {
+	j.process.count.answer(m.Route.Name, "rejected").Inc()
+	j.process.log.WithFields(logrus.Fields{"job": id, "route": m.Route.Name, "reason": f.Error(), "config-version": m.ConfigVersion}).
+		Info("job rejected")
+}
+
+// State returns whether a job is open here, and else its result if it is still
+// known.
+func (j *Jobs) State(id job.ID) (open bool, result home.Result) {
+	j.ask(func(time.Time) { open, result = j.process.table.State(id) })
+	return open, result
+}
+
+// Cancel ends a job and reports whether it was open here.
+func (j *Jobs) Cancel(id job.ID) (cancelled bool) {
+	j.ask(func(now time.Time) {
+		var actions []home.Action
+		actions, cancelled = j.process.table.Cancel(now, id)
+		j.process.runActions(now, actions)
+	})
+	return cancelled
+}
+
+// Waiting returns the number of a route's jobs of which nothing has run.
+func (j *Jobs) Waiting(m Match) (n int) {
+	j.ask(func(time.Time) { n = j.process.table.Waiting(m.Route.Name) })
+	return n
+}
+
+// ask runs f on loop and waits for it.
+func (j *Jobs) ask(f func(now time.Time)) {
+	done := make(chan struct{})
+	j.process.post(func(now time.Time) {
+		f(now)
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-j.process.ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/process/dispatch/process.go
@@ -0,0 +1,247 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/home"
+	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+	"hornbeamlift.example/hornbeamlift/internal/decide/route"
+	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
+)
+
+// Process is one instance.
+type Process struct {
+	set     Settings
+	ports   Ports
+	self    ident.Process
+	unique  uint32
+	mesh    *peer.Mesh
+	log     *logrus.Entry
+	metrics *metrics.Set
+	count   counters
+	// posts holds work for loop.
+	posts chan func(now time.Time)
+	// config is the configuration in force, with its content for peers.
+	config   atomic.Pointer[configInForce]
+	draining atomic.Bool
+	owned    atomic.Bool
+	ctx      context.Context
+	jobs     *Jobs
+
+	// The fields below belong to loop.
+	view   *leader.View
+	table  *home.Table
+	pool   *owner.Pool
+	wait   map[home.Request]chan<- home.Answer
+	next   home.Request
+	lost   map[ident.Process]time.Time
+	list   endpointList
+	fleet  map[ident.InstanceID]Member
+	busy   bool
+	ticked time.Time
+	// listAge is the age of the owner's list as it last said.
+	listAge time.Duration
+}
+
+// configInForce is a configuration and its encoded content.
+type configInForce struct {
+	table   *route.Table
+	content []byte
+	at      time.Time
+}
+
+// postBacklog bounds the work that waits for loop. Traffic goroutines block
+// beyond it.
+const postBacklog = 1024
+
+// New returns a process that is ready to run. Its failure has kind
+// fault.SettingsInvalid.
+func New(set Settings, ports Ports) (*Process, error) {
+	set = set.Defaults()
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	now := set.Clock.Now()
+	p := &Process{
+		set: set, ports: ports, unique: rand.Uint32(), metrics: metrics.NewSet(),
+		self:  ident.Process{Instance: set.Instance, Incarnation: newIncarnation(now)},
+		posts: make(chan func(time.Time), postBacklog),
+		table: home.New(), wait: map[home.Request]chan<- home.Answer{}, lost: map[ident.Process]time.Time{},
+		fleet: map[ident.InstanceID]Member{},
+		log:   set.Log.WithFields(logrus.Fields{"instance": set.Instance, "data-centre": set.DataCentre}),
+	}
+	p.jobs = &Jobs{process: p}
+	var err error
+	set.Leader.Self, set.Leader.DataCentre = p.self, set.DataCentre
+	if p.view, err = leader.New(now, set.Leader, leader.Seniority(now.UnixMilli())); err != nil {
+		return nil, err
+	}
+	if p.pool, err = owner.New(set.Owner); err != nil {
+		return nil, err
+	}
+	p.mesh, err = peer.NewMesh(peer.Config{
+		Self: p.self, DataCentre: set.DataCentre, ListenAddress: set.PeerAddress, Address: set.PeerAddress,
+		Token: set.Token, Clock: set.Clock, Near: linkSilence / 2, Far: linkSilence / 2, SilentAfter: 2,
+		DialTimeout: dialTimeout, RedialMax: redialMax, DialGrace: dialGrace, WriteTimeout: linkSilence,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.connectPeers()
+	p.registerMetrics()
+	return p, nil
+}
+
+const (
+	// linkSilence retires a link on which nothing arrives. Pulses notice the
+	// silence of the leader sooner.
+	linkSilence = 3 * time.Second
+	dialTimeout = 500 * time.Millisecond
+	redialMax   = 500 * time.Millisecond
+	// dialGrace is how long the instance with the higher id leaves dialling to
+	// the other.
+	dialGrace = 300 * time.Millisecond
+)
+
+// newIncarnation draws the incarnation of a process: 48 bits of Unix
+// milliseconds, so that later processes are higher, and 16 random bits.
+func newIncarnation(now time.Time) ident.Incarnation {
+	return ident.Incarnation(uint64(now.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16)))
+}
+
+// Run serves until ctx ends, then finishes what is under way and leaves.
+func (p *Process) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	p.ctx = inner
+	var g run.Group
+	callers := &http.Server{
+		Handler: p.ports.Callers(p.jobs), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeader,
+	}
+	ready := &http.Server{Handler: p.ports.Readiness(p.ready), ReadHeaderTimeout: headerTimeout}
+	g.Add(func() error { return p.runDrain(ctx, callers) }, func(error) {})
+	addServer(&g, callers, p.set.CallerAddress)
+	addServer(&g, ready, p.set.ReadinessAddress)
+	if p.set.MetricsAddress != "" {
+		addServer(&g, p.metricsServer(), p.set.MetricsAddress)
+	}
+	add := func(f func(context.Context) error) {
+		c, cancel := context.WithCancel(inner)
+		g.Add(func() error { return f(c) }, func(error) { cancel() })
+	}
+	add(p.runConfig)
+	add(p.runMember)
+	add(p.runList)
+	add(p.mesh.Run)
+	add(p.loop)
+	p.log.WithFields(logrus.Fields{
+		"incarnation": p.self.Incarnation, "caller-address": p.set.CallerAddress, "store-address": p.set.StoreAddress,
+	}).Info("instance started")
+	err := g.Run()
+	p.log.WithError(err).Info("instance stopped")
+	return err
+}
+
+const (
+	// headerTimeout and idleTimeout bound the waits for a request.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeader bounds a request's header, in bytes.
+	maxHeader = 16 << 10
+	// shutdownTimeout bounds the wait for answers that are being written when
+	// the process ends.
+	shutdownTimeout = time.Second
+)
+
+func addServer(g *run.Group, s *http.Server, address string) {
+	g.Add(func() error {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return fault.Wrap(err, fault.SettingsInvalid, fault.RanNo).WithDetail("cannot listen on " + address)
+		}
+		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+			return fault.Wrap(err, fault.Internal, fault.RanUnknown)
+		}
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+	})
+}
+
+// ready returns nil when the instance takes callers.
+func (p *Process) ready(context.Context) error {
+	switch {
+	case p.draining.Load():
+		return fault.New(fault.Draining, fault.RanNo)
+	case p.config.Load() == nil:
+		return fault.New(fault.ConfigMissing, fault.RanNo)
+	case !p.owned.Load():
+		return fault.New(fault.HomeUnreachable, fault.RanNo).WithDetail("no owner of the endpoints is known")
+	}
+	return nil
+}
+
+// runDrain waits for the end of ctx, then lets the load balancer and the
+// callers go before the process ends.
+func (p *Process) runDrain(ctx context.Context, callers *http.Server) error {
+	<-ctx.Done()
+	end := p.set.Clock.Now().Add(p.set.Grace - drainMargin)
+	p.draining.Store(true)
+	p.log.Info("draining")
+	p.post(func(now time.Time) {
+		p.view.Drain()
+		p.tick(now)
+		p.pulse(p.view.Peers())
+	})
+	p.sleep(min(p.set.RotationWait, p.set.Grace/2))
+	callers.SetKeepAlivesEnabled(false)
+	left, cancel := context.WithTimeout(context.Background(), max(0, end.Sub(p.set.Clock.Now())))
+	defer cancel()
+	if err := callers.Shutdown(left); err != nil {
+		p.log.WithError(err).Warn("callers were still waiting at the end of the grace period")
+	}
+	return nil
+}
+
+// drainMargin is left of the grace period for the end of the process.
+const drainMargin = 600 * time.Millisecond
+
+// sleep waits for d or the end of the process.
+func (p *Process) sleep(d time.Duration) {
+	done := make(chan struct{})
+	timer := p.set.Clock.AfterFunc(d, func() { close(done) })
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-p.ctx.Done():
+	}
+}
+
+// post passes work to loop.
+func (p *Process) post(f func(now time.Time)) {
+	select {
+	case p.posts <- f:
+	case <-p.ctx.Done():
+	}
+}
+
+// send passes a message to a peer, and reports whether a link took it.
+func (p *Process) send(to ident.Process, urgent bool, m *peerpb.Message) bool {
+	return p.mesh.Send(to.Instance, to.Incarnation, urgent, m)
+}
--- /dev/null
+++ b/internal/process/dispatch/settings.go
@@ -0,0 +1,112 @@
+// Package dispatch runs an instance that dispatches jobs to endpoints with room
+// and leases. One goroutine, loop, owns the control state: the jobs that are
+// homed here, the view of the fleet and, on the leader, the endpoints. The
+// others carry traffic and post to it.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/clock"
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+)
+
+// Settings holds the settings of a Process.
+type Settings struct {
+	Instance         ident.InstanceID
+	DataCentre       ident.DataCentre
+	CallerAddress    string
+	ReadinessAddress string
+	PeerAddress      string
+	MetricsAddress   string
+	StoreAddress     string
+	// Token authenticates peers.
+	Token string
+	// MemoryLimit is the memory that the process may take, in bytes; zero means
+	// no limit.
+	MemoryLimit int64
+	// Grace is the time from SIGTERM until the process is killed.
+	Grace  time.Duration
+	Owner  owner.Config
+	Leader leader.Config
+	// TickInterval is how often what is due gets done.
+	TickInterval time.Duration
+	// ListInterval is the interval between reads of the list of endpoints, and
+	// ListStale the age at which others read it for the owner.
+	ListInterval time.Duration
+	ListStale    time.Duration
+	// WatchWait is how long a watch of the configuration waits.
+	WatchWait time.Duration
+	// StoreTimeout bounds a call to the store.
+	StoreTimeout time.Duration
+	// MemberTTL is the lease of this instance's key in the store, and
+	// MemberInterval the interval of its renewals and of reads of the others.
+	MemberTTL      time.Duration
+	MemberInterval time.Duration
+	// LinkGrace is how long the owner keeps the tasks of a home whose link
+	// broke. It is well below the time after which a caller submits again.
+	LinkGrace time.Duration
+	// RotationWait is how long a draining instance still takes callers, until
+	// the load balancer has noticed.
+	RotationWait time.Duration
+	Clock        clock.Clock
+	Log          *logrus.Logger
+}
+
+// Defaults returns s with its zero fields set to their defaults.
+func (s Settings) Defaults() Settings {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&s.Grace, 6*time.Second)
+	set(&s.TickInterval, 25*time.Millisecond)
+	set(&s.ListInterval, 500*time.Millisecond)
+	set(&s.ListStale, 1500*time.Millisecond)
+	set(&s.WatchWait, 1500*time.Millisecond)
+	set(&s.StoreTimeout, time.Second)
+	set(&s.MemberTTL, 5*time.Second)
+	set(&s.MemberInterval, 1500*time.Millisecond)
+	set(&s.LinkGrace, 250*time.Millisecond)
+	set(&s.RotationWait, 2200*time.Millisecond)
+	if s.Token == "" {
+		s.Token = "hornbeamlift"
+	}
+	if s.Clock == nil {
+		s.Clock = clock.System{}
+	}
+	if s.Log == nil {
+		s.Log = logrus.New()
+	}
+	return s
+}
+
+// Validate returns a *fault.List with every fault found, of kind
+// fault.SettingsInvalid.
+func (s Settings) Validate() error {
+	var found fault.List
+	check := func(ok bool, field, detail string) {
+		if !ok {
+			found.Faults = append(found.Faults, fault.New(fault.SettingsInvalid, fault.RanNo).WithField(field).WithDetail(detail))
+		}
+	}
+	check(ident.ValidName(string(s.Instance)), "instance", "must name an instance")
+	check(ident.ValidName(string(s.DataCentre)), "data-centre", "must name a data centre")
+	check(s.CallerAddress != "", "caller-address", "is required")
+	check(s.ReadinessAddress != "", "readiness-address", "is required")
+	check(s.PeerAddress != "", "peer-address", "is required")
+	check(s.Grace > 0, "grace", "must be above 0")
+	check(s.TickInterval > 0, "tick-interval", "must be above 0")
+	check(s.WatchWait >= time.Millisecond, "watch-wait", "must be at least a millisecond")
+	check(s.LinkGrace < time.Second, "link-grace", "must be below a second")
+	if len(found.Faults) > 0 {
+		return &found
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/dispatch/status.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"hornbeamlift.example/hornbeamlift/internal/decide/home"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+)
+
+// counters holds the counters and histograms of a process.
+type counters struct {
+	set           *metrics.Set
+	takeovers     *metrics.Counter
+	storeFailures *metrics.Counter
+	behind        *metrics.Histogram
+	open          *metrics.Histogram
+}
+
+func (c *counters) answer(route, result string) *metrics.Counter {
+	return c.set.GetOrCreateCounter(`hornbeamlift_jobs_total{route=` + strconv.Quote(route) + `,result="` + result + `"}`)
+}
+
+// registerMetrics sets up the metrics.
+func (p *Process) registerMetrics() {
+	p.count = counters{
+		set:           p.metrics,
+		takeovers:     p.metrics.NewCounter("hornbeamlift_takeovers_total"),
+		storeFailures: p.metrics.NewCounter("hornbeamlift_store_failures_total"),
+		behind:        p.metrics.NewHistogram("hornbeamlift_tick_interval_seconds"),
+		open:          p.metrics.NewHistogram("hornbeamlift_job_seconds"),
+	}
+}
+
+// metricsServer serves the metrics as text.
+func (p *Process) metricsServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		p.metrics.WritePrometheus(w)
+		p.writeGauges(w)
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+// writeGauges writes the counters of the pool and the sizes of the tables.
+func (p *Process) writeGauges(w http.ResponseWriter) {
+	var s owner.Stats
+	var open int
+	var age time.Duration
+	p.jobs.ask(func(now time.Time) {
+		s, open, age = p.pool.Stats(), p.table.Open(), now.Sub(p.list.at)
+	})
+	gauge := func(name string, v float64) {
+		metrics.WriteGaugeFloat64(w, name, v)
+	}
+	gauge("hornbeamlift_jobs_open", float64(open))
+	gauge("hornbeamlift_list_age_seconds", age.Seconds())
+	gauge("hornbeamlift_tasks_waiting", float64(s.Waiting))
+	gauge("hornbeamlift_runs", float64(s.Running))
+	gauge("hornbeamlift_endpoints", float64(s.Endpoints))
+	gauge("hornbeamlift_endpoints_held", float64(s.Held))
+	gauge("hornbeamlift_endpoints_foreign", float64(s.Foreign))
+	for name, n := range map[string]uint64{
+		"starts": s.Starts, "starts_refused": s.StartsRefused, "tasks_done": s.Done, "tasks_failed": s.Failed,
+		"tasks_lost": s.Lost, "tasks_refused": s.Refused, "stops": s.Stops, "looks": s.Looks,
+		"looks_failed": s.LooksFailed, "fenced": s.Fenced, "adopted": s.Adopted, "unclaimed": s.Unclaimed,
+	} {
+		metrics.WriteCounterUint64(w, "hornbeamlift_"+name+"_total", n)
+	}
+	if c := p.config.Load(); c != nil {
+		gauge("hornbeamlift_config_version", float64(c.table.Version))
+	}
+}
+
+// logAnswer writes the line of a job that has ended.
+func (p *Process) logAnswer(a home.Answer) {
+	p.count.answer(a.Route, a.Result.String()).Inc()
+	p.count.open.Update(a.Open.Seconds())
+	ends := make([]string, len(a.Ends))
+	for i, e := range a.Ends {
+		ends[i] = e.Key.String() + "/" + strconv.Itoa(e.Run) + " " + e.Outcome.String() + " " + string(e.Endpoint) +
+			" waited " + e.Waited.Round(time.Millisecond).String() + " ran " + e.Ran.Round(time.Millisecond).String()
+	}
+	p.log.WithFields(logrus.Fields{
+		"job": a.Job, "route": a.Route, "result": a.Result.String(), "open": a.Open.Round(time.Millisecond).String(),
+		"target": a.Target.Round(time.Millisecond).String(), "reason": a.Reason, "ends": strings.Join(ends, "; "),
+	}).Info("job answered")
+}
+
+// logStart writes a line for a start that an endpoint did not take.
+func (p *Process) logStart(s owner.Start, a owner.Answered) {
+	if a.Reply == owner.OK {
+		return
+	}
+	p.log.WithFields(logrus.Fields{
+		"task": s.Key.String(), "run": s.Run, "endpoint": s.Endpoint, "reply": a.Reply.String(), "until": s.Until, "fence": s.Fence,
+		"clock": a.Clock,
+	}).Info("start refused or unanswered")
+}
--- /dev/null
+++ b/internal/process/dispatch/wire.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
+)
+
+func placeMessage(orders []job.Order) *peerpb.Message {
+	body := &peerpb.PlaceOrders{Orders: make([]*peerpb.Order, len(orders))}
+	for i := range orders {
+		o := &orders[i]
+		m := &peerpb.Order{
+			Job: string(o.Job), Step: uint32(o.Step), Service: string(o.Service), Payload: o.Payload,
+			Room:       roomMessage(o.Needs.Room),
+			EstimateUs: uint32(o.Needs.Estimate.Microseconds()), RequiredLabel: o.Needs.RequiredLabel,
+			Affinity: o.Needs.Affinity, SameRack: o.Needs.SameRack, MaxPerEndpoint: uint32(o.Needs.MaxPerEndpoint),
+			TargetUs: o.Target.Microseconds(), DeadlineUs: o.Deadline.Microseconds(), Handed: o.Handed,
+		}
+		for k := range o.Indexes {
+			m.Indexes = append(m.Indexes, uint32(o.Indexes[k]))
+			m.FirstRuns = append(m.FirstRuns, uint32(o.FirstRuns[k]))
+		}
+		body.Orders[i] = m
+	}
+	return &peerpb.Message{Body: &peerpb.Message_PlaceOrders{PlaceOrders: body}}
+}
+
+// readOrders returns the orders, and false when a peer sent lists of unlike
+// length.
+func readOrders(body *peerpb.PlaceOrders) ([]job.Order, bool) {
+	orders := make([]job.Order, len(body.GetOrders()))
+	for i, m := range body.GetOrders() {
+		if len(m.GetIndexes()) != len(m.GetFirstRuns()) {
+			return nil, false
+		}
+		o := job.Order{
+			Job: job.ID(m.GetJob()), Step: int(m.GetStep()), Service: ident.Service(m.GetService()), Payload: m.GetPayload(),
+			Needs: job.Needs{
+				Room: readRoom(m.GetRoom()), Estimate: time.Duration(m.GetEstimateUs()) * time.Microsecond,
+				RequiredLabel: m.GetRequiredLabel(), Affinity: m.GetAffinity(), SameRack: m.GetSameRack(),
+				MaxPerEndpoint: int(m.GetMaxPerEndpoint()),
+			},
+			Target:   time.Duration(m.GetTargetUs()) * time.Microsecond,
+			Deadline: time.Duration(m.GetDeadlineUs()) * time.Microsecond,
+			Handed:   m.GetHanded(),
+		}
+		for k := range m.GetIndexes() {
+			o.Indexes = append(o.Indexes, int(m.GetIndexes()[k]))
+			o.FirstRuns = append(o.FirstRuns, int(m.GetFirstRuns()[k]))
+		}
+		orders[i] = o
+	}
+	return orders, true
+}
+
+func roomMessage(r job.Room) *peerpb.Room {
+	return &peerpb.Room{Cpu: r.CPU, Memory: r.Memory, Gpu: r.GPU}
+}
+
+func readRoom(m *peerpb.Room) job.Room {
+	return job.Room{CPU: m.GetCpu(), Memory: m.GetMemory(), GPU: m.GetGpu()}
+}
+
+func endsMessage(ends []job.End) *peerpb.Message {
+	body := &peerpb.TaskEnds{Ends: make([]*peerpb.TaskEnd, len(ends))}
+	for i := range ends {
+		e := &ends[i]
+		body.Ends[i] = &peerpb.TaskEnd{
+			Job: string(e.Key.Job), Step: uint32(e.Key.Step), Index: uint32(e.Key.Index), Run: uint32(e.Run),
+			Outcome: uint32(e.Outcome), Endpoint: string(e.Endpoint), RanUs: uint32(e.Ran.Microseconds()),
+			WaitedUs: uint32(e.Waited.Microseconds()), RetryAfterMs: uint32(e.RetryAfter.Milliseconds()),
+		}
+	}
+	return &peerpb.Message{Body: &peerpb.Message_TaskEnds{TaskEnds: body}}
+}
+
+func readEnds(body *peerpb.TaskEnds) []job.End {
+	ends := make([]job.End, len(body.GetEnds()))
+	for i, m := range body.GetEnds() {
+		ends[i] = job.End{
+			Key: job.Key{Job: job.ID(m.GetJob()), Step: int(m.GetStep()), Index: int(m.GetIndex())},
+			Run: int(m.GetRun()), Outcome: job.Outcome(m.GetOutcome()), Endpoint: ident.EndpointID(m.GetEndpoint()),
+			Ran:        time.Duration(m.GetRanUs()) * time.Microsecond,
+			Waited:     time.Duration(m.GetWaitedUs()) * time.Microsecond,
+			RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+		}
+	}
+	return ends
+}
+
+func readEndpoints(body *peerpb.EndpointList) []owner.Endpoint {
+	list := make([]owner.Endpoint, len(body.GetEndpoints()))
+	for i, m := range body.GetEndpoints() {
+		e := owner.Endpoint{
+			ID: ident.EndpointID(m.GetId()), Service: ident.Service(m.GetService()), Address: m.GetAddress(),
+			DataCentre: ident.DataCentre(m.GetDataCentre()), Labels: m.GetLabels(), Room: readRoom(m.GetRoom()),
+			Draining: m.GetDraining(), Born: m.GetBorn(),
+		}
+		if len(e.Labels) > 0 {
+			e.Kind = e.Labels[0]
+		}
+		if len(e.Labels) > 1 {
+			e.Rack = e.Labels[1]
+		}
+		list[i] = e
+	}
+	return list
+}
+
+func endpointsMessage(list []owner.Endpoint, age time.Duration) *peerpb.Message {
+	body := &peerpb.EndpointList{AgeMs: uint32(age.Milliseconds()), Endpoints: make([]*peerpb.LeasedEndpoint, len(list))}
+	for i := range list {
+		e := &list[i]
+		body.Endpoints[i] = &peerpb.LeasedEndpoint{
+			Id: string(e.ID), Service: string(e.Service), Address: e.Address, DataCentre: string(e.DataCentre),
+			Labels: e.Labels, Room: roomMessage(e.Room), Draining: e.Draining, Born: e.Born,
+		}
+	}
+	return &peerpb.Message{Body: &peerpb.Message_EndpointList{EndpointList: body}}
+}
