Take the caller's own deadline for a job, not the route's timeout

Cause: jobs whose work exceeds the route's timeout of 1.5 s were given up in the middle. Their callers wait as long as Deadline-Ms says, up to several seconds. Ruled out: slow endpoints; the runs themselves were as fast as expected.

--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -74,11 +74,12 @@
 	Result     Result
 	RetryAfter time.Duration
 	// Open is how long the job was open, and Ends what led to the result.
-	Open   time.Duration
-	Target time.Duration
-	Reason string
-	Route  string
-	Ends   []job.End
+	Open     time.Duration
+	Target   time.Duration
+	Deadline time.Duration
+	Reason   string
+	Route    string
+	Ends     []job.End
 }
 
 func (Place) action()    {}
@@ -194,9 +195,6 @@
 	if past, ok := t.past[spec.ID]; ok && (past.result == Finished || past.result == Failed) {
 		return []Action{Answer{Requests: []Request{r}, Job: spec.ID, Result: past.result, Route: terms.Route, Reason: "answered before"}}
 	}
-	if terms.Timeout > 0 {
-		deadline = min(deadline, terms.Timeout)
-	}
 	e := &entry{
 		spec: spec, terms: terms, requests: []Request{r}, opened: now, deadline: now.Add(deadline),
 		steps: make([]stepState, len(spec.Steps)), tail: tails(spec.Steps),
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -88,7 +88,7 @@
 	}
 	p.log.WithFields(logrus.Fields{
 		"job": a.Job, "route": a.Route, "result": a.Result.String(), "open": a.Open.Round(time.Millisecond).String(),
-		"target": a.Target.Round(time.Millisecond).String(), "reason": a.Reason, "ends": strings.Join(ends, "; "),
+		"target": a.Target.Round(time.Millisecond).String(), "reason": a.Reason, "deadline": a.Deadline.Round(time.Millisecond).String(), "ends": strings.Join(ends, "; "),
 	}).Info("job answered")
 }
 
