--- a/internal/decide/owner/calls.go
+++ b/internal/decide/owner/calls.go
@@ -24,6 +24,10 @@
 	default:
 		p.stats.LooksFailed++
 		e.failures++
+		if e.hold == held {
+			// Another owner may take it over unnoticed.
+			e.hold = unseen
+		}
 		e.nextLook = now.Add(p.cfg.LookRetry << min(e.failures-1, 5))
 	}
 	return p.Tick(now)
@@ -38,7 +42,10 @@
 	stale := l.Clock < e.clock
 	e.seenBorn = l.Born
 	e.read(now, l.Clock)
-	e.hold, e.failures, e.climb = held, 0, 0
+	e.hold, e.owned, e.failures, e.climb = held, true, 0, 0
+	if l.Sent.After(e.seenAt) {
+		e.seenAt = l.Sent
+	}
 	e.nextLook = now
 	for _, end := range l.Ended {
 		if end.Number > e.acknowledged {
@@ -86,7 +93,9 @@
 func (p *Pool) find(now time.Time, e *endpoint, id runID) {
 	r := &run{id: id, endpoint: e, phase: running, began: now}
 	e.runs[id] = r
-	e.unclaimed++
+	if e.unclaimed++; e.unclaimed == 1 {
+		e.claimBy = now.Add(p.cfg.AdoptWait + claimMargin)
+	}
 	p.present[id.key] = append(p.present[id.key], r)
 	for _, b := range p.batches {
 		if b.job != id.key.Job || b.step != id.key.Step {
@@ -145,7 +154,7 @@
 		p.finish(t, job.End{Run: end.Run, Outcome: job.Failed, Endpoint: e.ID, Ran: ran})
 	default:
 		p.stats.Lost++
-		p.requeue(t, time.Time{})
+		p.requeue(t)
 	}
 }
 
@@ -174,7 +183,7 @@
 // fenced takes note that a look was refused. An endpoint that this owner did
 // not hold yet may only remember an owner that is gone.
 func (p *Pool) fenced(now time.Time, e *endpoint) {
-	if e.hold == unseen && e.climb < maxClimb {
+	if e.hold == unseen && !e.owned && e.climb < maxClimb {
 		p.raise(e)
 		e.nextLook = now
 		return
@@ -192,12 +201,13 @@
 	if e.hold == foreign {
 		return
 	}
-	e.hold = foreign
+	e.hold, e.seenAt = foreign, time.Time{}
 	e.nextLook = now.Add(p.cfg.ForeignWait)
 	for _, r := range e.runs {
 		if t := r.task; t != nil {
 			p.remove(r)
-			p.requeue(t, now.Add(p.cfg.OrphanWait))
+			t.handed = now
+			p.requeue(t)
 			continue
 		}
 		p.remove(r)
@@ -243,7 +253,7 @@
 	case Fenced:
 		p.remove(r)
 		if t != nil {
-			p.requeue(t, time.Time{})
+			p.requeue(t)
 		}
 		p.yield(now, e)
 		return
@@ -265,7 +275,7 @@
 		p.finish(t, job.End{Run: r.id.run, Outcome: job.Refused, Endpoint: e.ID, RetryAfter: p.cfg.RetryAfter})
 		return
 	}
-	p.requeue(t, time.Time{})
+	p.requeue(t)
 }
 
 const (
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -50,12 +50,13 @@
 func (p *Pool) startRange(now time.Time, tasks []*task, usable *[]*endpoint) []*task {
 	var chosen []*task
 	var failed *batch
+	seen := p.seenSince()
 	for _, t := range tasks {
 		if len(*usable) == 0 {
 			break
 		}
 		// Tasks of a batch have the same needs.
-		if t.batch == failed || now.Before(t.notBefore) || len(p.present[t.key]) > 0 {
+		if t.batch == failed || !p.certain(now, seen, t) || len(p.present[t.key]) > 0 {
 			continue
 		}
 		e := p.choose(t, *usable)
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -51,6 +51,12 @@
 	look     uint64
 	nextLook time.Time
 	failures int
+	// owned is set once the endpoint has obeyed the present fence.
+	owned bool
+	// claimBy is when runs that no home has claimed are to end, or zero.
+	claimBy time.Time
+	// seenAt is when the newest look that succeeded was sent.
+	seenAt time.Time
 	// restUntil is when the endpoint may start tasks again.
 	restUntil time.Time
 	speed     speed
@@ -77,23 +83,33 @@
 // leaseEnd returns the lease end to ask for, on the endpoint's clock. An
 // endpoint shortens a longer lease to the longest that it grants.
 func (e *endpoint) leaseEnd(now time.Time, lease time.Duration) Moment {
+	if e.unclaimed > 0 {
+		// Homes of these runs may have started their tasks elsewhere by then.
+		lease = min(lease, e.claimBy.Sub(now))
+	}
 	until := e.clock + Moment((now.Sub(e.clockAt) + lease).Milliseconds())
 	e.until = max(e.until, until)
 	return e.until
 }
 
 // lapsed reports whether everything that this owner ever leased on the endpoint
-// has surely ended, even when the endpoint's clock is slow.
-func (e *endpoint) lapsed(now time.Time, clockError float64) bool {
+// has surely ended, even when the endpoint's clock is slow. Another owner may
+// have taken it over and kept runs for as long as it waits for their homes.
+func (e *endpoint) lapsed(now time.Time, cfg *Config) bool {
 	if e.until == 0 {
 		return true
 	}
-	left := float64(e.until-e.clock) / (1 - clockError)
-	return now.Sub(e.clockAt) > time.Duration(left)*time.Millisecond+lapseMargin
+	left := time.Duration(float64(e.until-e.clock)/(1-cfg.ClockError)) * time.Millisecond
+	return now.Sub(e.clockAt) > left+cfg.AdoptWait+claimMargin+lapseMargin
 }
 
-// lapseMargin covers the time in which an endpoint ends what has lapsed.
-const lapseMargin = 60 * time.Millisecond
+const (
+	// lapseMargin covers the time in which an endpoint ends what has lapsed.
+	lapseMargin = 60 * time.Millisecond
+	// claimMargin covers the time in which a run that no home has claimed is
+	// stopped.
+	claimMargin = 100 * time.Millisecond
+)
 
 // speed learns how long an endpoint takes for tasks against their estimates.
 type speed struct {
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -11,8 +11,13 @@
 // Place takes tasks of a home. Tasks that the pool has already are left as they
 // are, and runs that it found on endpoints are adopted.
 func (p *Pool) Place(now time.Time, home ident.Process, orders []job.Order) []Action {
+	handed := false
 	for i := range orders {
 		p.place(now, home, &orders[i])
+		handed = handed || orders[i].Handed
+	}
+	if handed && p.active {
+		p.glanceAll(now)
 	}
 	p.dispatch(now)
 	return p.flush()
@@ -70,8 +75,8 @@
 	if t.run != nil {
 		return
 	}
-	if handed && !p.sawAll() {
-		t.notBefore = now.Add(p.cfg.OrphanWait)
+	if handed {
+		t.handed = now
 	}
 	p.enqueue(t)
 }
@@ -95,10 +100,32 @@
 	p.stats.Adopted++
 }
 
-// sawAll reports whether every endpoint obeys this owner, so that the lists
-// show everything that runs.
-func (p *Pool) sawAll() bool {
-	return !slices.ContainsFunc(p.order, func(e *endpoint) bool { return e.hold != held })
+// seenSince returns the time since which every endpoint has been looked at.
+// What an earlier owner started before then shows in the lists, and what it
+// orders later is refused.
+func (p *Pool) seenSince() time.Time {
+	var since time.Time
+	for i, e := range p.order {
+		if i == 0 || e.seenAt.Before(since) {
+			since = e.seenAt
+		}
+	}
+	return since
+}
+
+// certain reports whether no earlier owner can have the task running.
+func (p *Pool) certain(now, seen time.Time, t *task) bool {
+	return t.handed.IsZero() || !seen.Before(t.handed) || now.Sub(t.handed) >= p.cfg.OrphanWait
+}
+
+// glanceAll looks at all endpoints at once, so that tasks of another owner can
+// start soon.
+func (p *Pool) glanceAll(now time.Time) {
+	for _, e := range p.order {
+		if e.hold == held && p.mine(e.Endpoint) {
+			p.glance(now, e)
+		}
+	}
 }
 
 // Withdraw ends all tasks of a job that the home no longer wants.
@@ -168,19 +195,16 @@
 	t.waited = now.Sub(t.batch.placed)
 	p.stats.Refused++
 	outcome := job.Refused
-	if t.ran || !t.notBefore.IsZero() {
+	if t.ran || !t.handed.IsZero() {
 		outcome = job.Overdue
 	}
 	p.finish(t, job.End{Outcome: outcome, RetryAfter: p.cfg.RetryAfter})
 }
 
 // requeue lets a task wait for another run.
-func (p *Pool) requeue(t *task, notBefore time.Time) {
+func (p *Pool) requeue(t *task) {
 	t.run = nil
 	t.nextRun++
-	if notBefore.After(t.notBefore) {
-		t.notBefore = notBefore
-	}
 	p.enqueue(t)
 }
 
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -113,6 +113,17 @@
 	p.clear()
 }
 
+// Reclaim takes over the endpoints that another owner held, which now follows
+// this one.
+func (p *Pool) Reclaim(now time.Time) []Action {
+	for _, e := range p.order {
+		if e.hold == foreign {
+			e.hold, e.owned, e.nextLook = unseen, false, now
+		}
+	}
+	return p.Tick(now)
+}
+
 // SetEndpoints takes the list. Endpoints without an entry are kept while they
 // run something.
 func (p *Pool) SetEndpoints(now time.Time, list []Endpoint) []Action {
@@ -167,11 +178,11 @@
 	if e.look == 0 && !now.Before(e.nextLook) && (p.mine(e.Endpoint) || len(e.runs) > 0) {
 		p.lookAt(now, e)
 	}
-	if e.failures > 0 && len(e.runs) > 0 && e.lapsed(now, p.cfg.ClockError) {
+	if e.failures > 0 && len(e.runs) > 0 && e.lapsed(now, &p.cfg) {
 		p.loseAll(now, e)
 	}
 	for _, r := range e.runs {
-		if !r.claimed && r.phase != stopping && now.Sub(p.from) >= p.cfg.AdoptWait {
+		if !r.claimed && r.phase != stopping && now.Sub(r.began) >= p.cfg.AdoptWait {
 			p.stats.Unclaimed++
 			p.stop(r)
 		}
@@ -231,7 +242,7 @@
 		return
 	}
 	p.stats.Lost++
-	p.requeue(t, time.Time{})
+	p.requeue(t)
 }
 
 // remove frees what a run occupied.
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -40,9 +40,10 @@
 	run *run
 	// nextRun is the number of the next run.
 	nextRun int
-	// notBefore delays the start of a task that another owner may have
-	// started.
-	notBefore time.Time
+	// handed is when the task came from another owner, which may have started
+	// it on an endpoint that this owner has not looked at since. It is zero for
+	// others.
+	handed time.Time
 	// ran is set once a run may have started.
 	ran    bool
 	queued bool
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -49,6 +49,10 @@
 	}
 	p.runActions(now, p.table.Tick(now))
 	if p.pool.Active() {
+		if !p.reclaim.IsZero() && !now.Before(p.reclaim) {
+			p.reclaim = time.Time{}
+			p.carryOut(now, p.pool.Reclaim(now))
+		}
 		p.carryOut(now, p.pool.Tick(now))
 		p.view.Saw(p.pool.Epoch())
 	}
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -39,6 +39,7 @@
 		p.dial()
 	}
 	p.pulse([]ident.Process{process})
+	p.reclaim = now.Add(reclaimWait)
 	if p.pool.Active() && len(p.list.endpoints) > 0 {
 		p.send(process, false, p.list.message(now))
 	}
@@ -90,6 +91,10 @@
 	}
 }
 
+// reclaimWait is the time from a new link until the peer behind it has followed
+// the owner, when it owned endpoints itself.
+const reclaimWait = 150 * time.Millisecond
+
 // configHeadStart is how long a peer may take to read a configuration from the
 // store itself.
 const configHeadStart = 400 * time.Millisecond
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -42,16 +42,18 @@
 	jobs     *Jobs
 
 	// The fields below belong to loop.
-	view   *leader.View
-	table  *home.Table
-	pool   *owner.Pool
-	wait   map[home.Request]chan<- home.Answer
-	next   home.Request
-	lost   map[ident.Process]time.Time
-	list   endpointList
-	fleet  map[ident.InstanceID]Member
-	busy   bool
-	ticked time.Time
+	view  *leader.View
+	table *home.Table
+	pool  *owner.Pool
+	wait  map[home.Request]chan<- home.Answer
+	next  home.Request
+	lost  map[ident.Process]time.Time
+	// reclaim is when to take back what a peer owned, or zero.
+	reclaim time.Time
+	list    endpointList
+	fleet   map[ident.InstanceID]Member
+	busy    bool
+	ticked  time.Time
 	// listAge is the age of the owner's list as it last said.
 	listAge time.Duration
 }
