Compose the decisions in a core, and test it in random schedules

Change: decide/dispatcher composes view, jobs and pool; process/dispatch only carries. New lives get a higher fence, and runs of before are stopped first. After a pause nothing starts until the ends of links have arrived, and the boot clock brings deadlines nearer. SIGHUP and a changed file read the settings again.

--- a/cmd/hornbeamlift/dispatch.go
+++ b/cmd/hornbeamlift/dispatch.go
@@ -37,7 +37,9 @@
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level of log lines: debug, info, warn or error"},
 			&cli.IntFlag{Name: "gc-percent", Value: defaultGCPercent, Usage: "growth of the heap between collections, in percent"},
 		},
-		Before: func(ctx context.Context, cmd *cli.Command) (context.Context, error) { return ctx, noArguments(ctx, cmd) },
+		Before: func(ctx context.Context, cmd *cli.Command) (context.Context, error) {
+			return ctx, noArguments(ctx, cmd)
+		},
 		Action: runDispatch,
 	}
 }
@@ -68,7 +70,7 @@
 	if set.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(set.MemoryLimit) * memoryShare))
 	}
-	p, err := dispatch.New(set, platform.Ports(set))
+	p, err := dispatch.New(set, platform.Ports(cmd.String("settings"), set))
 	if err != nil {
 		return err
 	}
--- a/internal/decide/home/ends.go
+++ b/internal/decide/home/ends.go
@@ -1,6 +1,8 @@
 package home
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
@@ -19,8 +21,8 @@
 			touched[e.spec.ID] = e
 		}
 	}
-	for _, e := range touched {
-		t.settle(now, e)
+	for _, id := range slices.Sorted(maps.Keys(touched)) {
+		t.settle(now, touched[id])
 	}
 	return t.flush()
 }
@@ -192,10 +194,15 @@
 // Tick gives up jobs whose deadline has passed and places again what an owner
 // did not take.
 func (t *Table) Tick(now time.Time) []Action {
-	for _, e := range t.jobs {
-		if now.Before(e.deadline) {
-			continue
+	var late []job.ID
+	for id, e := range t.jobs {
+		if !now.Before(e.deadline) {
+			late = append(late, id)
 		}
+	}
+	slices.Sort(late)
+	for _, id := range late {
+		e := t.jobs[id]
 		result := Overdue
 		if !e.handed {
 			result = Refused
@@ -204,7 +211,7 @@
 	}
 	if len(t.again) > 0 && t.owned && !now.Before(t.againAt) {
 		var orders []job.Order
-		for id := range t.again {
+		for _, id := range slices.Sorted(maps.Keys(t.again)) {
 			orders = append(orders, t.replace(now, t.jobs[id])...)
 		}
 		clear(t.again)
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -5,6 +5,8 @@
 package home
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
@@ -284,8 +286,8 @@
 	t.owner, t.owned = owner, known
 	if known {
 		var orders []job.Order
-		for _, e := range t.jobs {
-			orders = append(orders, t.replace(now, e)...)
+		for _, id := range slices.Sorted(maps.Keys(t.jobs)) {
+			orders = append(orders, t.replace(now, t.jobs[id])...)
 		}
 		if len(orders) > 0 {
 			t.out = append(t.out, Place{To: owner, Orders: orders})
@@ -315,6 +317,13 @@
 	return orders
 }
 
+// Paused brings deadlines nearer by time that the clock did not count.
+func (t *Table) Paused(uncounted time.Duration) {
+	for _, e := range t.jobs {
+		e.deadline = e.deadline.Add(-uncounted)
+	}
+}
+
 // Lost takes the end of the link to the owner. Nothing is placed until an owner
 // is known again.
 func (t *Table) Lost(p ident.Process) {
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -7,6 +7,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -210,7 +211,9 @@
 		}
 	}
 	v.ticked = now
-	for id, p := range v.peers {
+	ids := slices.Sorted(maps.Keys(v.peers))
+	for _, id := range ids {
+		p := v.peers[id]
 		if p.linked && now.Sub(p.heard) > v.allowed(p) {
 			p.linked, p.pulsed = false, false
 			silent = append(silent, p.process)
@@ -225,8 +228,8 @@
 		v.excuse(now)
 	}
 	v.isolated = v.minority(now)
-	for _, p := range v.peers {
-		if p.linked && !now.Before(p.nextSend) {
+	for _, id := range ids {
+		if p := v.peers[id]; p != nil && p.linked && !now.Before(p.nextSend) {
 			p.nextSend = now.Add(v.interval(p.process, first, second))
 			pulse = append(pulse, p.process)
 		}
--- a/internal/decide/owner/calls.go
+++ b/internal/decide/owner/calls.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
@@ -37,6 +38,7 @@
 func (p *Pool) accept(now time.Time, e *endpoint, l *Looked) {
 	if e.seenBorn != l.Born && e.seenBorn != 0 {
 		p.restart(now, e, l)
+		return
 	}
 	// Answers on different connections overtake each other.
 	stale := l.Clock < e.clock
@@ -60,9 +62,9 @@
 	for _, row := range l.Running {
 		id := runID{key: row.Key, run: row.Run}
 		listed[id] = true
-		r := e.runs[id]
+		r := e.find(id)
 		if r == nil {
-			p.find(now, e, id)
+			p.discover(now, e, id)
 			continue
 		}
 		r.percent = row.Percent
@@ -70,39 +72,44 @@
 			r.phase, r.mark = running, l.Clock
 		}
 	}
-	p.miss(now, e, l.Clock, listed)
+	p.miss(e, l.Clock, listed)
 }
 
 // restart takes note that the endpoint lives anew and runs nothing of before.
+// Its new life has seen no fence, so that orders to the old one that are still
+// on their way would be carried out; a higher fence refuses them.
 func (p *Pool) restart(now time.Time, e *endpoint, l *Looked) {
 	e.acknowledged, e.until, e.clock = 0, 0, 0
 	e.hold = unseen
+	p.raise(e)
+	listed := map[runID]bool{}
+	for _, row := range l.Running {
+		listed[runID{key: row.Key, run: row.Run}] = true
+	}
 	for _, r := range e.runs {
-		// A start that is on its way may reach the new life.
-		if r.phase == starting && !r.doubted {
-			r.mark = 0
-			continue
+		// A start may have reached the new life, so that only a stop makes sure.
+		r.mark = 0
+		if !listed[r.id] {
+			r.doubted = true
+			p.stop(r)
 		}
-		p.lose(now, r)
 	}
 	e.read(now, l.Clock)
+	e.seenBorn, e.failures, e.seenAt, e.nextLook = l.Born, 0, time.Time{}, now
 }
 
-// find adds a run that this owner did not start. It is adopted when its home
+// discover adds a run that this owner did not start. It is adopted when its home
 // has placed it, and otherwise waits for that.
-func (p *Pool) find(now time.Time, e *endpoint, id runID) {
+func (p *Pool) discover(now time.Time, e *endpoint, id runID) {
 	r := &run{id: id, endpoint: e, phase: running, began: now}
-	e.runs[id] = r
+	e.runs = append(e.runs, r)
 	if e.unclaimed++; e.unclaimed == 1 {
 		e.claimBy = now.Add(p.cfg.AdoptWait + claimMargin)
 	}
 	p.present[id.key] = append(p.present[id.key], r)
-	for _, b := range p.batches {
-		if b.job != id.key.Job || b.step != id.key.Step {
-			continue
-		}
+	for _, b := range p.jobs[id.key.Job] {
 		t := b.tasks[id.key.Index]
-		if t == nil || id.key.Occurrence != 0 {
+		if b.step != id.key.Step || t == nil || id.key.Occurrence != 0 {
 			continue
 		}
 		t.nextRun = max(t.nextRun, id.run+1)
@@ -116,21 +123,21 @@
 
 // miss removes the runs that a list of the endpoint's time clock should show
 // and does not.
-func (p *Pool) miss(now time.Time, e *endpoint, clock Moment, listed map[runID]bool) {
-	for id, r := range e.runs {
-		if listed[id] || r.mark == 0 || clock <= r.mark {
+func (p *Pool) miss(e *endpoint, clock Moment, listed map[runID]bool) {
+	for _, r := range slices.Clone(e.runs) {
+		if listed[r.id] || r.mark == 0 || clock <= r.mark {
 			continue
 		}
 		switch {
 		case r.phase == running, r.phase == stopping && r.stopped:
-			p.lose(now, r)
+			p.lose(r)
 		}
 	}
 }
 
 // ended takes one end of a list.
 func (p *Pool) ended(now time.Time, e *endpoint, end Ended) {
-	r := e.runs[runID{key: end.Key, run: end.Run}]
+	r := e.find(runID{key: end.Key, run: end.Run})
 	if r == nil {
 		return
 	}
@@ -194,8 +201,9 @@
 // maxClimb bounds the epochs by which a fence rises at once.
 const maxClimb = 1 << 16
 
-// yield leaves an endpoint to another owner for a while. Its runs are given up
-// only then: that owner either stops them or ends them for their homes.
+// yield leaves an endpoint to another owner for a while. That owner stops its
+// runs unless their homes claim them. Homes may also have placed tasks there
+// that wait here.
 func (p *Pool) yield(now time.Time, e *endpoint) {
 	p.stats.Fenced++
 	if e.hold == foreign {
@@ -203,7 +211,10 @@
 	}
 	e.hold, e.seenAt = foreign, time.Time{}
 	e.nextLook = now.Add(p.cfg.ForeignWait)
-	for _, r := range e.runs {
+	for _, t := range p.waiting {
+		t.handed = now
+	}
+	for _, r := range slices.Clone(e.runs) {
 		if t := r.task; t != nil {
 			p.remove(r)
 			t.handed = now
@@ -218,7 +229,7 @@
 func (p *Pool) Answered(now time.Time, a *Answered) []Action {
 	r, ok := p.calls[a.Call].(*run)
 	delete(p.calls, a.Call)
-	if !ok || r.endpoint.runs[r.id] != r {
+	if !ok || r.endpoint.find(r.id) != r {
 		return nil
 	}
 	if a.Clock > 0 && a.Clock > r.endpoint.clock {
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -11,7 +11,7 @@
 // in time come first, those that must start soonest before the others; tasks
 // that are late already follow.
 func (p *Pool) dispatch(now time.Time) {
-	if !p.active || len(p.waiting) == 0 {
+	if !p.active || len(p.waiting) == 0 || now.Before(p.restUntil) {
 		return
 	}
 	usable := p.usable(now)
@@ -120,8 +120,8 @@
 // count returns how many runs of the batch's step are on the endpoint.
 func (e *endpoint) count(b *batch) int {
 	n := 0
-	for id := range e.runs {
-		if id.key.Job == b.job && id.key.Step == b.step {
+	for _, r := range e.runs {
+		if r.id.key.Job == b.job && r.id.key.Step == b.step {
 			n++
 		}
 	}
@@ -139,7 +139,7 @@
 		id: runID{key: t.key, run: t.nextRun}, endpoint: e, task: t, room: t.batch.needs.Room,
 		phase: starting, claimed: true, began: now,
 	}
-	e.runs[r.id] = r
+	e.runs = append(e.runs, r)
 	e.used = e.used.Plus(r.room)
 	p.present[t.key] = append(p.present[t.key], r)
 	t.run, t.queued = r, false
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -43,7 +43,7 @@
 	until        Moment
 	seenBorn     int64
 	acknowledged int64
-	runs         map[runID]*run
+	runs         []*run
 	used         job.Room
 	// unclaimed counts the runs whose room is unknown.
 	unclaimed int
@@ -63,6 +63,16 @@
 	health    health
 }
 
+// find returns a run on the endpoint, or nil.
+func (e *endpoint) find(id runID) *run {
+	for _, r := range e.runs {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
 // free returns the room that is left.
 func (e *endpoint) free() job.Room { return e.Room.Minus(e.used) }
 
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -1,7 +1,10 @@
 package owner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
@@ -36,10 +39,16 @@
 			placed: now, target: now.Add(o.Target), deadline: now.Add(o.Deadline), tasks: map[int]*task{},
 		}
 		p.batches[id] = b
+		p.jobs[b.job] = append(p.jobs[b.job], b)
 	}
 	for i, index := range o.Indexes {
-		if b.tasks[index] == nil {
+		t := b.tasks[index]
+		if t == nil {
 			p.add(now, b, index, o.FirstRuns[i], o.Handed)
+			continue
+		}
+		if o.Handed && t.run == nil {
+			t.handed, t.nextRun = now, max(t.nextRun, o.FirstRuns[i])
 		}
 	}
 }
@@ -61,7 +70,7 @@
 		nextRun: firstRun,
 	}
 	b.tasks[index] = t
-	for _, r := range p.present[t.key] {
+	for _, r := range slices.Clone(p.present[t.key]) {
 		t.nextRun = max(t.nextRun, r.id.run+1)
 		if t.run == nil && !r.claimed && r.phase == running {
 			p.adopt(now, t, r)
@@ -130,9 +139,9 @@
 
 // Withdraw ends all tasks of a job that the home no longer wants.
 func (p *Pool) Withdraw(now time.Time, home ident.Process, id job.ID) []Action {
-	for key, b := range p.batches {
-		if key.home == home && key.job == id {
-			p.withdraw(now, b)
+	for _, b := range slices.Clone(p.jobs[id]) {
+		if b.home == home {
+			p.withdraw(b)
 		}
 	}
 	p.dispatch(now)
@@ -141,17 +150,25 @@
 
 // HomeLost ends all tasks of a home that is gone.
 func (p *Pool) HomeLost(now time.Time, home ident.Process) []Action {
-	for key, b := range p.batches {
-		if key.home == home {
-			p.withdraw(now, b)
+	var gone []*batch
+	for id, b := range p.batches {
+		if id.home == home {
+			gone = append(gone, b)
 		}
 	}
+	slices.SortFunc(gone, func(a, b *batch) int {
+		return cmp.Or(strings.Compare(string(a.job), string(b.job)), cmp.Compare(a.step, b.step))
+	})
+	for _, b := range gone {
+		p.withdraw(b)
+	}
 	p.dispatch(now)
 	return p.flush()
 }
 
-func (p *Pool) withdraw(now time.Time, b *batch) {
-	for _, t := range b.tasks {
+func (p *Pool) withdraw(b *batch) {
+	for _, index := range slices.Sorted(maps.Keys(b.tasks)) {
+		t := b.tasks[index]
 		r := t.run
 		p.drop(t)
 		if r != nil {
@@ -165,9 +182,17 @@
 func (p *Pool) drop(t *task) {
 	p.dequeue(t)
 	delete(t.batch.tasks, t.key.Index)
-	if len(t.batch.tasks) == 0 {
-		delete(p.batches, batchID{home: t.batch.home, job: t.batch.job, step: t.batch.step})
+	if len(t.batch.tasks) > 0 {
+		return
+	}
+	b := t.batch
+	delete(p.batches, batchID{home: b.home, job: b.job, step: b.step})
+	left := slices.DeleteFunc(p.jobs[b.job], func(o *batch) bool { return o == b })
+	if len(left) == 0 {
+		delete(p.jobs, b.job)
+		return
 	}
+	p.jobs[b.job] = left
 }
 
 // finish reports the end of a task and forgets it.
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,14 +17,16 @@
 	cfg    Config
 	active bool
 	fence  Fence
-	// from is when the pool became active.
-	from time.Time
+	// restUntil is when the pool may start tasks again after a pause.
+	restUntil time.Time
 	// mine selects the endpoints to own.
 	mine      func(Endpoint) bool
 	endpoints map[ident.EndpointID]*endpoint
 	order     []*endpoint // by id, so that decisions repeat
 	batches   map[batchID]*batch
-	waiting   []*task // by startBy
+	// jobs holds the batches of each job, from any home.
+	jobs    map[job.ID][]*batch
+	waiting []*task // by startBy
 	// present holds the runs of each task that occupy an endpoint.
 	present map[job.Key][]*run
 	calls   map[uint64]any // *endpoint of a look, *run of a start or stop
@@ -55,6 +59,7 @@
 
 func (p *Pool) clear() {
 	p.batches = map[batchID]*batch{}
+	p.jobs = map[job.ID][]*batch{}
 	p.waiting = nil
 	p.present = map[job.Key][]*run{}
 	p.calls = map[uint64]any{}
@@ -67,7 +72,18 @@
 
 // forget drops what an owner knows of an endpoint beyond its entry.
 func (e *endpoint) forget() {
-	*e = endpoint{Endpoint: e.Endpoint, missingFrom: e.missingFrom, runs: map[runID]*run{}, speed: speed{ratio: 1}}
+	*e = endpoint{Endpoint: e.Endpoint, missingFrom: e.missingFrom, speed: speed{ratio: 1}}
+}
+
+// Configure changes the settings. It fails, and changes nothing, when cfg with
+// its defaults is not valid.
+func (p *Pool) Configure(cfg Config) error {
+	cfg = cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return err
+	}
+	p.cfg = cfg
+	return nil
 }
 
 // Active reports whether the pool owns endpoints.
@@ -97,7 +113,7 @@
 // and the homes place their tasks again.
 func (p *Pool) Activate(now time.Time, fence Fence, mine func(Endpoint) bool) []Action {
 	p.clear()
-	p.active, p.fence, p.mine, p.from = true, fence, mine, now
+	p.active, p.fence, p.mine = true, fence, mine
 	for _, e := range p.order {
 		e.fence = fence
 	}
@@ -113,6 +129,23 @@
 	p.clear()
 }
 
+// Paused keeps the pool from starting tasks until a time, since what it
+// believes may be out of date after a pause of the process. Deadlines draw
+// nearer by the time that the clock did not count.
+func (p *Pool) Paused(until time.Time, uncounted time.Duration) {
+	p.restUntil = until
+	for _, b := range p.batches {
+		b.deadline = b.deadline.Add(-uncounted)
+	}
+}
+
+// Saw takes the highest epoch that is known, which later fences exceed.
+func (p *Pool) Saw(epoch uint64) {
+	if epoch > p.fence.Epoch() {
+		p.fence = p.fence.raised(epoch - p.fence.Epoch())
+	}
+}
+
 // Reclaim takes over the endpoints that another owner held, which now follows
 // this one.
 func (p *Pool) Reclaim(now time.Time) []Action {
@@ -179,7 +212,7 @@
 		p.lookAt(now, e)
 	}
 	if e.failures > 0 && len(e.runs) > 0 && e.lapsed(now, &p.cfg) {
-		p.loseAll(now, e)
+		p.loseAll(e)
 	}
 	for _, r := range e.runs {
 		if !r.claimed && r.phase != stopping && now.Sub(r.began) >= p.cfg.AdoptWait {
@@ -228,14 +261,14 @@
 
 // loseAll gives up all runs of an endpoint that have surely ended, or that
 // another owner has taken over. Their tasks start elsewhere.
-func (p *Pool) loseAll(now time.Time, e *endpoint) {
-	for _, r := range e.runs {
-		p.lose(now, r)
+func (p *Pool) loseAll(e *endpoint) {
+	for _, r := range slices.Clone(e.runs) {
+		p.lose(r)
 	}
 }
 
 // lose removes a run that ended without a result.
-func (p *Pool) lose(now time.Time, r *run) {
+func (p *Pool) lose(r *run) {
 	t := r.task
 	p.remove(r)
 	if t == nil {
@@ -248,7 +281,7 @@
 // remove frees what a run occupied.
 func (p *Pool) remove(r *run) {
 	e := r.endpoint
-	delete(e.runs, r.id)
+	e.runs = slices.DeleteFunc(e.runs, func(o *run) bool { return o == r })
 	if r.claimed {
 		e.used = e.used.Minus(r.room)
 	} else {
@@ -270,8 +303,14 @@
 func (p *Pool) flush() []Action {
 	out := p.out
 	p.out = nil
-	for to, ends := range p.ends {
-		out = append(out, Report{To: to, Ends: ends})
+	if len(p.ends) == 0 {
+		return out
+	}
+	homes := slices.SortedFunc(maps.Keys(p.ends), func(a, b ident.Process) int {
+		return cmp.Or(strings.Compare(string(a.Instance), string(b.Instance)), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	for _, to := range homes {
+		out = append(out, Report{To: to, Ends: p.ends[to]})
 	}
 	clear(p.ends)
 	return out
--- a/internal/process/dispatch/jobs.go
+++ b/internal/process/dispatch/jobs.go
@@ -8,6 +8,7 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 	"hornbeamlift.example/hornbeamlift/internal/decide/route"
 )
@@ -54,7 +55,7 @@
 		p.next++
 		request = p.next
 		p.wait[request] = reply
-		p.runActions(now, p.table.Submit(now, request, spec, terms, deadline))
+		p.act(now, p.core.Submit(now, request, spec, terms, deadline))
 	})
 	select {
 	case a := <-reply:
@@ -64,7 +65,7 @@
 	}
 	p.post(func(now time.Time) {
 		delete(p.wait, request)
-		p.runActions(now, p.table.Leave(now, spec.ID, request))
+		p.act(now, p.core.Leave(now, spec.ID, request))
 	})
 	return home.Answer{}, fault.New(fault.Cancelled, fault.RanUnknown)
 }
@@ -79,23 +80,23 @@
 // State returns whether a job is open here, and else its result if it is still
 // known.
 func (j *Jobs) State(id job.ID) (open bool, result home.Result) {
-	j.ask(func(time.Time) { open, result = j.process.table.State(id) })
+	j.ask(func(time.Time) { open, result = j.process.core.Jobs().State(id) })
 	return open, result
 }
 
 // Cancel ends a job and reports whether it was open here.
 func (j *Jobs) Cancel(id job.ID) (cancelled bool) {
 	j.ask(func(now time.Time) {
-		var actions []home.Action
-		actions, cancelled = j.process.table.Cancel(now, id)
-		j.process.runActions(now, actions)
+		var actions []dispatcher.Action
+		actions, cancelled = j.process.core.Cancel(now, id)
+		j.process.act(now, actions)
 	})
 	return cancelled
 }
 
 // Waiting returns the number of a route's jobs of which nothing has run.
 func (j *Jobs) Waiting(m Match) (n int) {
-	j.ask(func(time.Time) { n = j.process.table.Waiting(m.Route.Name) })
+	j.ask(func(time.Time) { n = j.process.core.Jobs().Waiting(m.Route.Name) })
 	return n
 }
 
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -5,8 +5,7 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
-	"hornbeamlift.example/hornbeamlift/internal/core/job"
-	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
+	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
@@ -18,7 +17,7 @@
 	p.mesh.OnDown = func(process ident.Process, _ []*peerpb.Message) {
 		p.post(func(now time.Time) {
 			p.log.WithField("peer", process.Instance).Info("link to peer is down")
-			p.down(now, process, p.set.LinkGrace)
+			p.act(now, p.core.Down(now, process))
 		})
 	}
 	p.mesh.OnMessage = func(from ident.Process, m *peerpb.Message) {
@@ -29,20 +28,14 @@
 	}
 }
 
-// up takes a new link. A home that is back keeps its tasks.
+// up takes a new link.
 func (p *Process) up(now time.Time, process ident.Process, dc ident.DataCentre, address string) {
 	p.log.WithField("peer", process.Instance).Info("link to peer is up")
-	p.view.Up(now, process, dc)
-	delete(p.lost, process)
 	if _, known := p.fleet[process.Instance]; !known {
 		p.fleet[process.Instance] = Member{Process: process, DataCentre: dc, Address: address}
 		p.dial()
 	}
-	p.pulse([]ident.Process{process})
-	p.reclaim = now.Add(reclaimWait)
-	if p.pool.Active() && len(p.list.endpoints) > 0 {
-		p.send(process, false, p.list.message(now))
-	}
+	p.act(now, p.core.Up(now, process, dc))
 }
 
 // dial tells the mesh which instances to keep links to.
@@ -54,47 +47,50 @@
 	p.mesh.SetTargets(targets)
 }
 
+// send passes a message to a peer. Without a link the core learns of its end.
+func (p *Process) send(s dispatcher.Send) {
+	m := encode(s.Message)
+	if pulse := m.GetPulse(); pulse != nil {
+		if c := p.config.Load(); c != nil {
+			pulse.ConfigVersion = c.table.Version
+		}
+	}
+	if !p.mesh.Send(s.To.Instance, s.To.Incarnation, s.Urgent, m) {
+		p.count.unsent.Inc()
+	}
+}
+
 // receive takes a message of a peer.
 func (p *Process) receive(now time.Time, from ident.Process, m *peerpb.Message) {
 	switch body := m.GetBody().(type) {
-	case *peerpb.Message_Pulse:
-		p.pulsed(now, from, body.Pulse)
-	case *peerpb.Message_PlaceOrders:
-		orders, ok := readOrders(body.PlaceOrders)
-		if !ok {
-			p.log.WithField("peer", from.Instance).Warn("orders of a peer are malformed")
-			return
-		}
-		p.carryOut(now, p.pool.Place(now, from, orders))
-	case *peerpb.Message_WithdrawJob:
-		p.carryOut(now, p.pool.Withdraw(now, from, job.ID(body.WithdrawJob.GetJob())))
-	case *peerpb.Message_TaskEnds:
-		p.runActions(now, p.table.Ends(now, from, readEnds(body.TaskEnds)))
 	case *peerpb.Message_StoredConfig:
 		p.adoptConfig(body.StoredConfig.GetContent(), "peer "+string(from.Instance))
-	case *peerpb.Message_EndpointList:
-		p.takeList(now, body.EndpointList)
+		return
+	case *peerpb.Message_Pulse:
+		p.passConfig(now, from, body.Pulse.GetConfigVersion())
 	}
+	message, ok := decode(m)
+	if !ok {
+		p.log.WithField("peer", from.Instance).Warn("message of a peer is malformed")
+		return
+	}
+	p.act(now, p.core.Receive(now, from, message))
 }
 
-// pulsed takes a pulse, and hands the peer a configuration that it lacks.
-func (p *Process) pulsed(now time.Time, from ident.Process, m *peerpb.Pulse) {
-	p.view.Heard(now, from, leader.Pulse{Seniority: leader.Seniority(m.GetSeniority()), Epoch: m.GetEpoch(), Draining: m.GetDraining()})
+// passConfig hands a peer the configuration when it has an older one.
+func (p *Process) passConfig(now time.Time, to ident.Process, version uint64) {
 	c := p.config.Load()
-	if c != nil && m.GetConfigVersion() < c.table.Version && now.Sub(c.at) > configHeadStart {
-		p.send(from, true, &peerpb.Message{Body: &peerpb.Message_StoredConfig{
-			StoredConfig: &peerpb.StoredConfig{Version: c.table.Version, Content: c.content},
-		}})
+	if c == nil || version >= c.table.Version || now.Sub(c.at) < configHeadStart {
+		return
 	}
-	if lead, known := p.view.Owner(); known && lead == from {
-		p.listAge = time.Duration(m.GetListAgeMs()) * time.Millisecond
+	m := &peerpb.Message{Body: &peerpb.Message_StoredConfig{
+		StoredConfig: &peerpb.StoredConfig{Version: c.table.Version, Content: c.content},
+	}}
+	if !p.mesh.Send(to.Instance, to.Incarnation, false, m) {
+		p.count.unsent.Inc()
 	}
 }
 
-// reclaimWait is the time from a new link until the peer behind it has followed
-// the owner, when it owned endpoints itself.
-const reclaimWait = 150 * time.Millisecond
-
 // configHeadStart is how long a peer may take to read a configuration from the
 // store itself.
 const configHeadStart = 400 * time.Millisecond
--- a/internal/process/dispatch/ports.go
+++ b/internal/process/dispatch/ports.go
@@ -28,6 +28,8 @@
 type Ports struct {
 	Store     Store
 	Endpoints Endpoints
+	// Settings reads the settings again.
+	Settings func() (Settings, error)
 	// ParseConfig decodes the content of the configuration.
 	ParseConfig func(content []byte) (*route.Table, error)
 	// Callers returns the handler of callers' requests.
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -15,11 +15,10 @@
 	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
-	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 	"hornbeamlift.example/hornbeamlift/internal/decide/route"
-	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
 // Process is one instance.
@@ -27,7 +26,6 @@
 	set     Settings
 	ports   Ports
 	self    ident.Process
-	unique  uint32
 	mesh    *peer.Mesh
 	log     *logrus.Entry
 	metrics *metrics.Set
@@ -42,20 +40,14 @@
 	jobs     *Jobs
 
 	// The fields below belong to loop.
-	view  *leader.View
-	table *home.Table
-	pool  *owner.Pool
-	wait  map[home.Request]chan<- home.Answer
-	next  home.Request
-	lost  map[ident.Process]time.Time
-	// reclaim is when to take back what a peer owned, or zero.
-	reclaim time.Time
-	list    endpointList
-	fleet   map[ident.InstanceID]Member
-	busy    bool
-	ticked  time.Time
-	// listAge is the age of the owner's list as it last said.
-	listAge time.Duration
+	core   *dispatcher.Core
+	wait   map[home.Request]chan<- home.Answer
+	next   home.Request
+	fleet  map[ident.InstanceID]Member
+	ticked time.Time
+	// noticed and booted are the newest times that loop has seen.
+	noticed time.Time
+	booted  time.Duration
 }
 
 // configInForce is a configuration and its encoded content.
@@ -78,20 +70,20 @@
 	}
 	now := set.Clock.Now()
 	p := &Process{
-		set: set, ports: ports, unique: rand.Uint32(), metrics: metrics.NewSet(),
+		set: set, ports: ports, metrics: metrics.NewSet(),
 		self:  ident.Process{Instance: set.Instance, Incarnation: newIncarnation(now)},
 		posts: make(chan func(time.Time), postBacklog),
-		table: home.New(), wait: map[home.Request]chan<- home.Answer{}, lost: map[ident.Process]time.Time{},
+		wait:  map[home.Request]chan<- home.Answer{},
 		fleet: map[ident.InstanceID]Member{},
 		log:   set.Log.WithFields(logrus.Fields{"instance": set.Instance, "data-centre": set.DataCentre}),
 	}
 	p.jobs = &Jobs{process: p}
 	var err error
 	set.Leader.Self, set.Leader.DataCentre = p.self, set.DataCentre
-	if p.view, err = leader.New(now, set.Leader, leader.Seniority(now.UnixMilli())); err != nil {
-		return nil, err
-	}
-	if p.pool, err = owner.New(set.Owner); err != nil {
+	p.core, err = dispatcher.New(now, dispatcher.Config{
+		Leader: set.Leader, Owner: set.Owner, Unique: rand.Uint32(),
+	}, leader.Seniority(now.UnixMilli()))
+	if err != nil {
 		return nil, err
 	}
 	p.mesh, err = peer.NewMesh(peer.Config{
@@ -148,6 +140,7 @@
 	add(p.runConfig)
 	add(p.runMember)
 	add(p.runList)
+	add(p.runReload)
 	add(p.mesh.Run)
 	add(p.loop)
 	p.log.WithFields(logrus.Fields{
@@ -206,11 +199,7 @@
 	end := p.set.Clock.Now().Add(p.set.Grace - drainMargin)
 	p.draining.Store(true)
 	p.log.Info("draining")
-	p.post(func(now time.Time) {
-		p.view.Drain()
-		p.tick(now)
-		p.pulse(p.view.Peers())
-	})
+	p.post(func(now time.Time) { p.act(now, p.core.Drain(now)) })
 	p.sleep(min(p.set.RotationWait, p.set.Grace/2))
 	callers.SetKeepAlivesEnabled(false)
 	left, cancel := context.WithTimeout(context.Background(), max(0, end.Sub(p.set.Clock.Now())))
@@ -242,8 +231,3 @@
 	case <-p.ctx.Done():
 	}
 }
-
-// send passes a message to a peer, and reports whether a link took it.
-func (p *Process) send(to ident.Process, urgent bool, m *peerpb.Message) bool {
-	return p.mesh.Send(to.Instance, to.Incarnation, urgent, m)
-}
--- a/internal/process/dispatch/settings.go
+++ b/internal/process/dispatch/settings.go
@@ -36,10 +36,8 @@
 	Leader leader.Config
 	// TickInterval is how often what is due gets done.
 	TickInterval time.Duration
-	// ListInterval is the interval between reads of the list of endpoints, and
-	// ListStale the age at which others read it for the owner.
+	// ListInterval is the interval between reads of the list of endpoints.
 	ListInterval time.Duration
-	ListStale    time.Duration
 	// WatchWait is how long a watch of the configuration waits.
 	WatchWait time.Duration
 	// StoreTimeout bounds a call to the store.
@@ -48,14 +46,16 @@
 	// MemberInterval the interval of its renewals and of reads of the others.
 	MemberTTL      time.Duration
 	MemberInterval time.Duration
-	// LinkGrace is how long the owner keeps the tasks of a home whose link
-	// broke. It is well below the time after which a caller submits again.
-	LinkGrace time.Duration
 	// RotationWait is how long a draining instance still takes callers, until
 	// the load balancer has noticed.
 	RotationWait time.Duration
-	Clock        clock.Clock
-	Log          *logrus.Logger
+	// ReloadInterval is the interval of looks for changed settings.
+	ReloadInterval time.Duration
+	// Boot returns a clock that also counts the time in which the machine was
+	// suspended. Only differences count.
+	Boot  func() time.Duration
+	Clock clock.Clock
+	Log   *logrus.Logger
 }
 
 // Defaults returns s with its zero fields set to their defaults.
@@ -68,13 +68,15 @@
 	set(&s.Grace, 6*time.Second)
 	set(&s.TickInterval, 25*time.Millisecond)
 	set(&s.ListInterval, 500*time.Millisecond)
-	set(&s.ListStale, 1500*time.Millisecond)
 	set(&s.WatchWait, 1500*time.Millisecond)
 	set(&s.StoreTimeout, time.Second)
 	set(&s.MemberTTL, 5*time.Second)
 	set(&s.MemberInterval, 1500*time.Millisecond)
-	set(&s.LinkGrace, 250*time.Millisecond)
 	set(&s.RotationWait, 2200*time.Millisecond)
+	set(&s.ReloadInterval, 2*time.Second)
+	if s.Boot == nil {
+		s.Boot = clock.Boot
+	}
 	if s.Token == "" {
 		s.Token = "hornbeamlift"
 	}
@@ -104,7 +106,6 @@
 	check(s.Grace > 0, "grace", "must be above 0")
 	check(s.TickInterval > 0, "tick-interval", "must be above 0")
 	check(s.WatchWait >= time.Millisecond, "watch-wait", "must be at least a millisecond")
-	check(s.LinkGrace < time.Second, "link-grace", "must be below a second")
 	if len(found.Faults) > 0 {
 		return &found
 	}
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -18,6 +18,7 @@
 	set           *metrics.Set
 	takeovers     *metrics.Counter
 	storeFailures *metrics.Counter
+	unsent        *metrics.Counter
 	behind        *metrics.Histogram
 	open          *metrics.Histogram
 }
@@ -32,6 +33,7 @@
 		set:           p.metrics,
 		takeovers:     p.metrics.NewCounter("hornbeamlift_takeovers_total"),
 		storeFailures: p.metrics.NewCounter("hornbeamlift_store_failures_total"),
+		unsent:        p.metrics.NewCounter("hornbeamlift_messages_unsent_total"),
 		behind:        p.metrics.NewHistogram("hornbeamlift_tick_interval_seconds"),
 		open:          p.metrics.NewHistogram("hornbeamlift_job_seconds"),
 	}
@@ -53,7 +55,8 @@
 	var open int
 	var age time.Duration
 	p.jobs.ask(func(now time.Time) {
-		s, open, age = p.pool.Stats(), p.table.Open(), now.Sub(p.list.at)
+		s, age = p.core.Stats(now)
+		open = p.core.Jobs().Open()
 	})
 	gauge := func(name string, v float64) {
 		metrics.WriteGaugeFloat64(w, name, v)
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -9,8 +9,8 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
-	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
 // storeRetry is the pause after a call to the store that failed.
@@ -138,7 +138,11 @@
 // joined takes the members that the store lists. Linked instances that it does
 // not list stay targets, since keys can be lost.
 func (p *Process) joined(now time.Time, list []Member) {
-	p.view.Listed(now, members(list))
+	members := make([]leader.Member, len(list))
+	for i, m := range list {
+		members[i] = leader.Member{Instance: m.Process.Instance, DataCentre: m.DataCentre}
+	}
+	p.core.Listed(now, members)
 	fleet := map[ident.InstanceID]Member{}
 	for id, m := range p.fleet {
 		if _, linked := p.mesh.Connected(id); linked {
@@ -154,16 +158,6 @@
 	p.dial()
 }
 
-// endpointList is the newest list of endpoints and when it was read.
-type endpointList struct {
-	endpoints []owner.Endpoint
-	at        time.Time
-}
-
-func (l *endpointList) message(now time.Time) *peerpb.Message {
-	return endpointsMessage(l.endpoints, now.Sub(l.at))
-}
-
 // runList reads the list of endpoints while this instance owns them, or while
 // the owner's list is old.
 func (p *Process) runList(ctx context.Context) error {
@@ -189,55 +183,18 @@
 }
 
 // wanted asks loop whether the list should be read.
-func (p *Process) wanted() bool {
-	reply := make(chan bool, 1)
-	p.post(func(time.Time) {
-		lead, known := p.view.Owner()
-		reply <- !known || lead == p.self || p.listAge > p.set.ListStale || len(p.list.endpoints) == 0
-	})
-	select {
-	case w := <-reply:
-		return w
-	case <-p.ctx.Done():
-		return false
-	}
+func (p *Process) wanted() (wanted bool) {
+	p.jobs.ask(func(time.Time) { wanted = p.core.WantsList() })
+	return wanted
 }
 
-// listed takes a list that was read from the store. The owner passes changes
-// on, the others help an owner that cannot read it.
+// listed takes a list that was read from the store.
 func (p *Process) listed(now time.Time, list []owner.Endpoint) {
-	changed := !slices.EqualFunc(list, p.list.endpoints, sameEndpoint)
-	p.list.endpoints, p.list.at = list, now
+	actions, changed := p.core.SetList(now, list)
 	if changed {
 		p.log.WithField("endpoints", len(list)).Info("list of endpoints has changed")
 	}
-	p.carryOut(now, p.pool.SetEndpoints(now, list))
-	lead, known := p.view.Owner()
-	switch {
-	case known && lead == p.self:
-		if changed {
-			for _, peer := range p.view.Peers() {
-				p.send(peer, false, p.list.message(now))
-			}
-		}
-	case known && p.listAge > p.set.ListStale:
-		p.send(lead, false, p.list.message(now))
-	}
-}
-
-func sameEndpoint(a, b owner.Endpoint) bool {
-	return a.ID == b.ID && a.Address == b.Address && a.Draining == b.Draining && a.Born == b.Born && a.Room == b.Room &&
-		a.Service == b.Service && a.DataCentre == b.DataCentre && slices.Equal(a.Labels, b.Labels)
-}
-
-// takeList takes a list from a peer unless the own one is newer.
-func (p *Process) takeList(now time.Time, m *peerpb.EndpointList) {
-	at := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
-	if !at.After(p.list.at) {
-		return
-	}
-	p.list.endpoints, p.list.at = readEndpoints(m), at
-	p.carryOut(now, p.pool.SetEndpoints(now, p.list.endpoints))
+	p.act(now, actions)
 }
 
 // dependency logs when an outside system is lost and regained.
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -1,14 +1,64 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
+	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
+// encode returns a message of the core in the form of the peers' protocol.
+func encode(message any) *peerpb.Message {
+	switch m := message.(type) {
+	case dispatcher.Pulse:
+		return &peerpb.Message{Body: &peerpb.Message_Pulse{Pulse: &peerpb.Pulse{
+			Seniority: int64(m.Seniority), Epoch: m.Epoch, Draining: m.Draining,
+			ListAgeMs: uint32(min(m.ListAge.Milliseconds(), math.MaxUint32)),
+		}}}
+	case dispatcher.Orders:
+		return placeMessage(m)
+	case dispatcher.Withdrawal:
+		return &peerpb.Message{Body: &peerpb.Message_WithdrawJob{WithdrawJob: &peerpb.WithdrawJob{Job: string(m)}}}
+	case dispatcher.Ends:
+		return endsMessage(m)
+	case dispatcher.List:
+		return endpointsMessage(m.Endpoints, m.Age)
+	}
+	return &peerpb.Message{}
+}
+
+// decode returns a message of a peer in the form of the core, and false when it
+// is malformed.
+func decode(m *peerpb.Message) (any, bool) {
+	switch body := m.GetBody().(type) {
+	case *peerpb.Message_Pulse:
+		return dispatcher.Pulse{
+			Pulse: leader.Pulse{
+				Seniority: leader.Seniority(body.Pulse.GetSeniority()), Epoch: body.Pulse.GetEpoch(), Draining: body.Pulse.GetDraining(),
+			},
+			ListAge: time.Duration(body.Pulse.GetListAgeMs()) * time.Millisecond,
+		}, true
+	case *peerpb.Message_PlaceOrders:
+		orders, ok := readOrders(body.PlaceOrders)
+		return dispatcher.Orders(orders), ok
+	case *peerpb.Message_WithdrawJob:
+		return dispatcher.Withdrawal(body.WithdrawJob.GetJob()), true
+	case *peerpb.Message_TaskEnds:
+		return dispatcher.Ends(readEnds(body.TaskEnds)), true
+	case *peerpb.Message_EndpointList:
+		return dispatcher.List{
+			Endpoints: readEndpoints(body.EndpointList),
+			Age:       time.Duration(body.EndpointList.GetAgeMs()) * time.Millisecond,
+		}, true
+	}
+	return nil, false
+}
+
 func placeMessage(orders []job.Order) *peerpb.Message {
 	body := &peerpb.PlaceOrders{Orders: make([]*peerpb.Order, len(orders))}
 	for i := range orders {
