Remember endpoints and instances that a cut hides

Cause: while a data centre is cut off from the store, the entries of its endpoints lapse. Instances inside the cut forgot the others after 6 s, and then claimed all endpoints. Ruled out: the fences; each side's orders were refused as they should be. Change: endpoints without an entry are looked at for 15 s more; the store's list decides who belongs to the fleet while it is fresh, and a minute passes before silent instances are forgotten without it.

--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -59,6 +59,8 @@
 	// requests maps open requests to their jobs.
 	requests map[home.Request]*call
 	next     home.Request
+	// storeCut is set while the node cannot reach the store.
+	storeCut bool
 	// links holds the processes that it has a link to.
 	links map[int]ident.Process
 }
@@ -71,8 +73,10 @@
 	late     float64 // share of orders that are carried out late
 	lost     float64 // share of answers that are lost
 	draining time.Time
-	waiters  []func()
-	wakeAt   time.Time
+	// silent is when the endpoint was cut off from the store, or zero.
+	silent  time.Time
+	waiters []func()
+	wakeAt  time.Time
 }
 
 // call is a job of a caller, with its tries.
@@ -109,6 +113,9 @@
 }
 
 const (
+	// entryTTL is how long an entry lives after its endpoint was cut off from
+	// the store.
+	entryTTL  = 4500 * time.Millisecond
 	service   = ident.Service("render")
 	drainTime = 2 * time.Second
 	resend    = 1300 * time.Millisecond
@@ -229,12 +236,12 @@
 	f.at(500*time.Millisecond, func() {
 		f.on(n, p, func() {
 			f.readStore(n, p)
-			if f.storeDown {
+			if f.storeDown || n.storeCut {
 				return
 			}
 			var list []leader.Member
 			for _, o := range f.nodes {
-				if o.up {
+				if o.up && !o.storeCut {
 					list = append(list, leader.Member{Instance: o.process.Instance, DataCentre: o.dc})
 				}
 			}
@@ -244,7 +251,7 @@
 			}
 			var entries []owner.Endpoint
 			for _, s := range f.stations {
-				if !s.down {
+				if !s.down && (s.silent.IsZero() || f.now.Sub(s.silent) < entryTTL) {
 					entries = append(entries, s.e.Entry)
 				}
 			}
--- a/internal/decide/dispatcher/schedule_test.go
+++ b/internal/decide/dispatcher/schedule_test.go
@@ -89,7 +89,9 @@
 	case k < 96:
 		f.storeDown = true
 		f.at(long, func() { f.storeDown, f.storeFrom = false, f.now })
-	case k < 97 && n.up && !n.frozen:
+	case k < 97 && f.chance(0.5):
+		f.partition(time.Duration(f.rnd.Int64N(int64(8 * time.Second))))
+	case k < 98 && n.up && !n.frozen:
 		f.act(n, n.core.Drain(f.clock(n)))
 		p := n.process
 		f.at(2*time.Second, func() {
@@ -152,6 +154,36 @@
 	}
 }
 
+// partition cuts a data centre off from the other and from the store.
+func (f *fleet) partition(d time.Duration) {
+	f.logf("dc-0 is cut off for %v", d)
+	for _, n := range f.nodes {
+		inside := n.dc == dataCentre(0)
+		for _, o := range f.nodes {
+			if inside && o.dc != n.dc {
+				f.cut(n, o, d)
+			}
+		}
+		for _, s := range f.stations {
+			if inside != (s.e.Entry.DataCentre == dataCentre(0)) {
+				c := [2]int{n.index, s.index}
+				f.stationCut[c] = true
+				f.at(d, func() { delete(f.stationCut, c) })
+			}
+		}
+		if inside {
+			n.storeCut = true
+			f.at(d, func() { n.storeCut = false })
+		}
+	}
+	for _, s := range f.stations {
+		if s.e.Entry.DataCentre == dataCentre(0) && s.silent.IsZero() {
+			s.silent = f.now
+			f.at(d, func() { s.silent = time.Time{} })
+		}
+	}
+}
+
 func (f *fleet) crash(s *station, d time.Duration) {
 	if s.down {
 		return
@@ -178,7 +210,7 @@
 
 // heal ends all faults.
 func (f *fleet) heal() {
-	f.run(9 * time.Second)
+	f.run(12 * time.Second)
 	for _, n := range f.nodes {
 		f.restart(n)
 	}
--- a/internal/decide/home/ends.go
+++ b/internal/decide/home/ends.go
@@ -40,8 +40,6 @@
 	}
 	if end.Outcome == job.Unowned {
 		if t.owned && from == t.owner {
-			// Nothing of the step has started there.
-			s.placed = false
 			t.again[e.spec.ID] = true
 			t.againAt = now.Add(placeRetry)
 		}
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -32,9 +32,11 @@
 	Silence time.Duration
 	// Settle is how long a new process listens before it may lead.
 	Settle time.Duration
-	// Forget is how long a silent instance counts as part of the fleet when
-	// the store does not list it.
-	Forget time.Duration
+	// Forget is how long a silent instance counts as part of the fleet while
+	// the store cannot be read. ListFresh is the age up to which the store's
+	// list decides instead.
+	Forget    time.Duration
+	ListFresh time.Duration
 }
 
 // Defaults returns c with its zero fields set to their defaults.
@@ -48,7 +50,8 @@
 	set(&c.Slow, 600*time.Millisecond)
 	set(&c.Silence, 500*time.Millisecond)
 	set(&c.Settle, 400*time.Millisecond)
-	set(&c.Forget, 6*time.Second)
+	set(&c.Forget, time.Minute)
+	set(&c.ListFresh, 5*time.Second)
 	return c
 }
 
@@ -99,8 +102,10 @@
 	epoch     uint64
 	peers     map[ident.InstanceID]*peer
 	started   time.Time
-	ticked    time.Time
-	owner     ident.Process
+	// listedAt is when the store's list was read.
+	listedAt time.Time
+	ticked   time.Time
+	owner    ident.Process
 	// isolated is set while the instance hears only a minority.
 	isolated bool
 }
@@ -163,6 +168,7 @@
 
 // Listed takes the instances that the store lists.
 func (v *View) Listed(now time.Time, members []Member) {
+	v.listedAt = now
 	for _, m := range members {
 		if m.Instance == v.cfg.Self.Instance {
 			continue
@@ -218,7 +224,7 @@
 			p.linked, p.pulsed = false, false
 			silent = append(silent, p.process)
 		}
-		if !p.linked && now.Sub(p.heard) > v.cfg.Forget && now.Sub(p.listed) > v.cfg.Forget {
+		if !p.linked && !v.known(now, p) {
 			delete(v.peers, id)
 		}
 	}
@@ -304,7 +310,13 @@
 
 // known reports whether an instance counts as part of the fleet.
 func (v *View) known(now time.Time, p *peer) bool {
-	return p.linked || now.Sub(p.listed) <= v.cfg.Forget || now.Sub(p.heard) <= v.cfg.Forget
+	switch {
+	case p.linked:
+		return true
+	case now.Sub(v.listedAt) <= v.cfg.ListFresh:
+		return p.listed.Equal(v.listedAt)
+	}
+	return now.Sub(p.listed) <= v.cfg.Forget || now.Sub(p.heard) <= v.cfg.Forget
 }
 
 // minority reports whether this instance hears less than half of the fleet,
--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -42,6 +42,9 @@
 	// MissingWait is how long an endpoint without an entry in the list is still
 	// used, since entries can lapse while the list's source is down.
 	MissingWait time.Duration
+	// KeepWait is how long an endpoint without an entry is still looked at. It
+	// may be cut off from the list's source and run tasks of another owner.
+	KeepWait time.Duration
 	// FarFactor is how many times as long a task takes away from its data.
 	FarFactor float64
 	// Cooldown is the first pause of an endpoint that fails its tasks.
@@ -70,6 +73,7 @@
 	set(&c.OrphanWait, 1700*time.Millisecond)
 	set(&c.ForeignWait, 4*time.Second)
 	set(&c.MissingWait, 2500*time.Millisecond)
+	set(&c.KeepWait, 15*time.Second)
 	set(&c.Cooldown, 500*time.Millisecond)
 	set(&c.CooldownMax, 4*time.Second)
 	set(&c.RetryAfter, time.Second)
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -184,7 +184,7 @@
 		if e.missingFrom.IsZero() {
 			e.missingFrom = now
 		}
-		gone := len(e.runs) == 0 && now.Sub(e.missingFrom) >= p.cfg.MissingWait
+		gone := len(e.runs) == 0 && now.Sub(e.missingFrom) >= p.cfg.KeepWait
 		if gone {
 			delete(p.endpoints, e.ID)
 		}
