Look before a stop when the answer to a start is lost, and rejoin slowly

Each lost answer stopped a task that ran, and kept its endpoint from new ones. After cuts, an owner on the smaller side heard a majority again link by link, claimed all endpoints before it heard the senior owner, and tasks waited up to 1.7 s. Ruled out: processor time (0.1 of 0.4 cores at the owner).

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -282,6 +282,10 @@
 		if lead, known := c.view.Owner(); known && lead == from {
 			c.ownerListAge = m.ListAge
 		}
+		if m.Owner.Instance != "" && m.Owner != c.self {
+			// This home has placed its tasks at another owner.
+			c.own(now, c.pool.HomeLost(now, from))
+		}
 	case Orders:
 		c.own(now, c.pool.Place(now, from, m))
 	case Withdrawal:
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -32,6 +32,9 @@
 	Silence time.Duration
 	// Settle is how long a new process listens before it may lead.
 	Settle time.Duration
+	// Rejoin is how long a majority must be heard before an isolated instance
+	// counts as part of it again. Links come back one by one after a cut.
+	Rejoin time.Duration
 	// Forget is how long a silent instance counts as part of the fleet while
 	// the store cannot be read. ListFresh is the age up to which the store's
 	// list decides instead.
@@ -50,6 +53,7 @@
 	set(&c.Slow, 600*time.Millisecond)
 	set(&c.Silence, 500*time.Millisecond)
 	set(&c.Settle, 400*time.Millisecond)
+	set(&c.Rejoin, time.Second)
 	set(&c.Forget, time.Minute)
 	set(&c.ListFresh, 5*time.Second)
 	return c
@@ -78,6 +82,9 @@
 	// Epoch is the highest epoch that the instance knows.
 	Epoch    uint64
 	Draining bool
+	// Owner is the process that the instance takes for the owner of the
+	// endpoints. It is empty while none is known.
+	Owner ident.Process
 }
 
 // peer is another instance.
@@ -106,8 +113,10 @@
 	listedAt time.Time
 	ticked   time.Time
 	owner    ident.Process
-	// isolated is set while the instance hears only a minority.
-	isolated bool
+	// isolated is set while the instance hears only a minority, and for a while
+	// after. minorityAt is when it last did.
+	isolated   bool
+	minorityAt time.Time
 }
 
 // Member is an instance that the store lists.
@@ -128,7 +137,7 @@
 
 // Own returns what this instance says of itself.
 func (v *View) Own() Pulse {
-	return Pulse{Seniority: v.seniority, Epoch: v.epoch, Draining: v.draining}
+	return Pulse{Seniority: v.seniority, Epoch: v.epoch, Draining: v.draining, Owner: v.owner}
 }
 
 // Epoch returns the highest epoch that is known.
@@ -229,11 +238,11 @@
 		}
 	}
 	first, second := v.rank()
-	if now.Sub(v.started) >= v.cfg.Settle && v.owner != first {
+	if v.settled(now) && v.owner != first {
 		v.owner = first
 		v.excuse(now)
 	}
-	v.isolated = v.minority(now)
+	v.judgeIsolation(now)
 	for _, id := range ids {
 		if p := v.peers[id]; p != nil && p.linked && !now.Before(p.nextSend) {
 			p.nextSend = now.Add(v.interval(p.process, first, second))
@@ -243,6 +252,34 @@
 	return pulse, silent
 }
 
+// judgeIsolation takes note of a minority at once, and of a majority after a
+// while, but for a new process, which hears the others for the first time.
+func (v *View) judgeIsolation(now time.Time) {
+	minority := v.minority(now)
+	fresh := now.Sub(v.started) < 2*v.cfg.Settle
+	if minority && !fresh {
+		v.minorityAt = now
+	}
+	v.isolated = minority || now.Sub(v.minorityAt) < v.cfg.Rejoin
+}
+
+// settled reports whether this instance has heard enough to follow an owner:
+// all instances that the store lists, or as many as answer in the settling time.
+func (v *View) settled(now time.Time) bool {
+	if v.owner.Instance != "" || now.Sub(v.started) >= v.cfg.Settle {
+		return true
+	}
+	if v.listedAt.IsZero() {
+		return false
+	}
+	for _, p := range v.peers {
+		if !p.pulsed && p.listed.Equal(v.listedAt) {
+			return false
+		}
+	}
+	return true
+}
+
 // excuse gives peers that pulsed at the long interval until now the time for a
 // pulse at the short one.
 func (v *View) excuse(now time.Time) {
--- a/internal/decide/owner/calls.go
+++ b/internal/decide/owner/calls.go
@@ -25,11 +25,15 @@
 	default:
 		p.stats.LooksFailed++
 		e.failures++
+		e.unsteadyUntil = now.Add(p.cfg.UnsteadyTime)
 		if e.hold == held {
 			// Another owner may take it over unnoticed.
 			e.hold = unseen
 		}
-		e.nextLook = now.Add(p.cfg.LookRetry << min(e.failures-1, 5))
+		e.nextLook = now
+		if e.failures > 1 {
+			e.nextLook = now.Add(p.cfg.LookRetry << min(e.failures-2, 5))
+		}
 	}
 	return p.Tick(now)
 }
@@ -68,10 +72,11 @@
 			continue
 		}
 		r.percent = row.Percent
-		if r.phase == starting && !r.doubted {
-			r.phase, r.mark = running, l.Clock
+		if r.phase == starting {
+			r.phase, r.mark, r.doubted = running, l.Clock, false
 		}
 	}
+	p.settle(e, l.Sent, listed)
 	p.miss(e, l.Clock, listed)
 }
 
@@ -121,6 +126,16 @@
 	}
 }
 
+// settle stops the runs whose starts got no answer and that a list since then
+// does not show, so that they never start.
+func (p *Pool) settle(e *endpoint, sent time.Time, listed map[runID]bool) {
+	for _, r := range e.runs {
+		if r.phase == starting && r.doubted && !listed[r.id] && !sent.Before(r.doubtedAt) {
+			p.stop(r)
+		}
+	}
+}
+
 // miss removes the runs that a list of the endpoint's time clock should show
 // and does not.
 func (p *Pool) miss(e *endpoint, clock Moment, listed map[runID]bool) {
@@ -202,8 +217,8 @@
 const maxClimb = 1 << 16
 
 // yield leaves an endpoint to another owner for a while. That owner stops its
-// runs unless their homes claim them. Homes may also have placed tasks there
-// that wait here.
+// runs unless their homes claim them. Homes may have gone over to it, which
+// their next pulses tell.
 func (p *Pool) yield(now time.Time, e *endpoint) {
 	p.stats.Fenced++
 	if e.hold == foreign {
@@ -211,8 +226,8 @@
 	}
 	e.hold, e.seenAt = foreign, time.Time{}
 	e.nextLook = now.Add(p.cfg.ForeignWait)
-	for _, t := range p.waiting {
-		t.handed = now
+	if now.After(p.restUntil.Add(p.cfg.ForeignWait / 2)) {
+		p.restUntil = now.Add(p.cfg.YieldRest)
 	}
 	for _, r := range slices.Clone(e.runs) {
 		if t := r.task; t != nil {
@@ -257,9 +272,10 @@
 		r.mark = max(r.mark, a.Clock)
 		return
 	case Unknown:
-		r.doubted = true
+		// A look tells whether it was carried out.
+		r.doubted, r.doubtedAt = true, now
 		p.stats.StartsRefused++
-		p.stop(r)
+		p.glance(now, e)
 		return
 	case Fenced:
 		p.remove(r)
--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -25,7 +25,17 @@
 	// and IdleWait the same for an endpoint that runs nothing.
 	LookWait time.Duration
 	IdleWait time.Duration
-	// LookRetry is the pause after a look that failed.
+	// UnsteadyWait is the wait of looks at an endpoint that failed to answer one
+	// in the last UnsteadyTime. A lost answer holds up the ends in it this long.
+	// It grows by UnsteadyStep for each such endpoint, which bounds the rate of
+	// looks.
+	UnsteadyWait time.Duration
+	UnsteadyStep time.Duration
+	UnsteadyTime time.Duration
+	// YieldRest is how long nothing starts after another owner has shown, so
+	// that homes can tell that they follow it.
+	YieldRest time.Duration
+	// LookRetry is the pause after looks that failed in a row.
 	LookRetry time.Duration
 	// StopRetry is the pause after a stop that failed.
 	StopRetry time.Duration
@@ -67,6 +77,10 @@
 	set(&c.LeaseMax, time.Second)
 	set(&c.LookWait, 300*time.Millisecond)
 	set(&c.IdleWait, 600*time.Millisecond)
+	set(&c.UnsteadyWait, 60*time.Millisecond)
+	set(&c.UnsteadyStep, 4*time.Millisecond)
+	set(&c.UnsteadyTime, 5*time.Second)
+	set(&c.YieldRest, 130*time.Millisecond)
 	set(&c.LookRetry, 50*time.Millisecond)
 	set(&c.StopRetry, 50*time.Millisecond)
 	set(&c.AdoptWait, 300*time.Millisecond)
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -57,6 +57,8 @@
 	claimBy time.Time
 	// seenAt is when the newest look that succeeded was sent.
 	seenAt time.Time
+	// unsteadyUntil is how long looks are short, since answers get lost.
+	unsteadyUntil time.Time
 	// restUntil is when the endpoint may start tasks again.
 	restUntil time.Time
 	speed     speed
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -31,9 +31,11 @@
 	present map[job.Key][]*run
 	calls   map[uint64]any // *endpoint of a look, *run of a start or stop
 	number  uint64
-	ends    map[ident.Process][]job.End
-	out     []Action
-	stats   Stats
+	// unsteady counts the endpoints that lately failed to answer a look.
+	unsteady int
+	ends     map[ident.Process][]job.End
+	out      []Action
+	stats    Stats
 	// estimate learns the ratio of run time to estimate over all endpoints.
 	estimate speed
 }
@@ -197,6 +199,12 @@
 // Tick does what is due: looks, stops, refusals and starts.
 func (p *Pool) Tick(now time.Time) []Action {
 	if p.active {
+		p.unsteady = 0
+		for _, e := range p.order {
+			if now.Before(e.unsteadyUntil) {
+				p.unsteady++
+			}
+		}
 		for _, e := range p.order {
 			p.tend(now, e)
 		}
@@ -236,6 +244,8 @@
 		wait = 0
 	case len(e.runs) == 0:
 		wait = p.cfg.IdleWait
+	case now.Before(e.unsteadyUntil):
+		wait = min(wait, p.cfg.UnsteadyWait+time.Duration(p.unsteady)*p.cfg.UnsteadyStep)
 	}
 	look := Look{Call: p.call(e), Acknowledged: e.acknowledged, Wait: wait}
 	if e.clock > 0 {
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -83,6 +83,7 @@
 	nextStop time.Time
 	stopped  bool
 	// doubted is set when the answer to the start was lost.
-	doubted bool
-	percent int
+	doubted   bool
+	doubtedAt time.Time
+	percent   int
 }
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -19,6 +19,7 @@
 		return &peerpb.Message{Body: &peerpb.Message_Pulse{Pulse: &peerpb.Pulse{
 			Seniority: int64(m.Seniority), Epoch: m.Epoch, Draining: m.Draining,
 			ListAgeMs: uint32(min(m.ListAge.Milliseconds(), math.MaxUint32)),
+			Owner:     string(m.Owner.Instance), OwnerIncarnation: uint64(m.Owner.Incarnation),
 		}}}
 	case dispatcher.Orders:
 		return placeMessage(m)
@@ -40,6 +41,9 @@
 		return dispatcher.Pulse{
 			Pulse: leader.Pulse{
 				Seniority: leader.Seniority(body.Pulse.GetSeniority()), Epoch: body.Pulse.GetEpoch(), Draining: body.Pulse.GetDraining(),
+				Owner: ident.Process{
+					Instance: ident.InstanceID(body.Pulse.GetOwner()), Incarnation: ident.Incarnation(body.Pulse.GetOwnerIncarnation()),
+				},
 			},
 			ListAge: time.Duration(body.Pulse.GetListAgeMs()) * time.Millisecond,
 		}, true
