Pulse at the short interval as soon as one side proves to lead

Links came 0.35 s late, since dials to machines without power waited half a second. Ruled out: load at the owner, whose loop was never behind. Change: the interval is judged at each tick; dials give up after 0.2 s; a pause of the process moves no peer's last sign into the future. TestPulsesAfterLink and TestSilence fail without.

--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -98,7 +98,8 @@
 	heard  time.Time
 	// listed is when the store last listed the instance.
 	listed   time.Time
-	nextSend time.Time
+	// sent is when the last pulse was sent to it.
+	sent time.Time
 }
 
 // View is what one instance believes of the fleet.
@@ -222,7 +223,9 @@
 	// A process that was paused must read what waits before it judges others.
 	if gap := now.Sub(v.ticked); gap > 2*v.cfg.Pulse {
 		for _, p := range v.peers {
-			p.heard = p.heard.Add(gap)
+			if p.heard = p.heard.Add(gap); p.heard.After(now) {
+				p.heard = now
+			}
 		}
 	}
 	v.ticked = now
@@ -244,8 +247,9 @@
 	}
 	v.judgeIsolation(now)
 	for _, id := range ids {
-		if p := v.peers[id]; p != nil && p.linked && !now.Before(p.nextSend) {
-			p.nextSend = now.Add(v.interval(p.process, first, second))
+		// The interval is short from the moment that one side proves to lead.
+		if p := v.peers[id]; p != nil && p.linked && now.Sub(p.sent) >= v.interval(p.process, first, second) {
+			p.sent = now
 			pulse = append(pulse, p.process)
 		}
 	}
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -103,11 +103,13 @@
 	// linkSilence retires a link on which nothing arrives. Pulses notice the
 	// silence of the leader sooner.
 	linkSilence = 3 * time.Second
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout is short, since machines without power do not answer and may
+	// be back at any moment.
+	dialTimeout = 200 * time.Millisecond
 	redialMax   = 500 * time.Millisecond
 	// dialGrace is how long the instance with the higher id leaves dialling to
 	// the other.
-	dialGrace = 300 * time.Millisecond
+	dialGrace = 80 * time.Millisecond
 )
 
 // newIncarnation draws the incarnation of a process: 48 bits of Unix
