Take back all endpoints after a cut, and ignore refusals of overtaken calls

A call under an earlier fence that was refused after a look under a higher one had succeeded counted as another owner; endpoints that were out of reach at the time of the reclaim were refused later and left alone too. Ruled out: resting endpoints, missing entries (3 of 48); the new line about the owner's state shows both. Change: refusals of overtaken calls only repeat the order; a reclaim covers the endpoints out of reach. The owner writes its state once a second.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -383,13 +383,16 @@
 // Epoch returns the highest epoch that is known.
 func (c *Core) Epoch() uint64 { return c.view.Epoch() }
 
+// Owns reports whether this instance owns endpoints.
+func (c *Core) Owns() bool { return c.pool.Active() }
+
 // Jobs returns the table of the jobs that are homed here, to read from.
 func (c *Core) Jobs() *home.Table { return c.table }
 
 // Stats returns the counters of the owner's pool, and the age of the list of
 // endpoints.
 func (c *Core) Stats(now time.Time) (owner.Stats, time.Duration) {
-	return c.pool.Stats(), now.Sub(c.listAt)
+	return c.pool.Stats(now), now.Sub(c.listAt)
 }
 
 // run passes on what the table of jobs decided.
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -97,7 +97,7 @@
 	linked bool
 	heard  time.Time
 	// listed is when the store last listed the instance.
-	listed   time.Time
+	listed time.Time
 	// sent is when the last pulse was sent to it.
 	sent time.Time
 }
--- a/internal/decide/owner/calls.go
+++ b/internal/decide/owner/calls.go
@@ -9,11 +9,12 @@
 
 // Looked takes the result of a Look.
 func (p *Pool) Looked(now time.Time, l *Looked) []Action {
-	e, ok := p.calls[l.Call].(*endpoint)
+	c, ok := p.calls[l.Call]
 	delete(p.calls, l.Call)
 	if !ok {
 		return nil // of an earlier activation
 	}
+	e := c.endpoint
 	if e.look == l.Call {
 		e.look = 0
 	}
@@ -21,7 +22,9 @@
 	case OK:
 		p.accept(now, e, l)
 	case Fenced:
-		p.fenced(now, e)
+		if !c.overtaken() {
+			p.fenced(now, e)
+		}
 	default:
 		p.stats.LooksFailed++
 		e.failures++
@@ -242,24 +245,25 @@
 
 // Answered takes the result of a Start or Stop.
 func (p *Pool) Answered(now time.Time, a *Answered) []Action {
-	r, ok := p.calls[a.Call].(*run)
+	c, ok := p.calls[a.Call]
 	delete(p.calls, a.Call)
-	if !ok || r.endpoint.find(r.id) != r {
+	r := c.run
+	if !ok || c.endpoint.find(r.id) != r {
 		return nil
 	}
 	if a.Clock > 0 && a.Clock > r.endpoint.clock {
 		r.endpoint.read(now, a.Clock)
 	}
 	if r.stopCall == a.Call {
-		p.stopAnswered(now, r, a)
+		p.stopAnswered(now, r, a, c.overtaken())
 	} else {
-		p.startAnswered(now, r, a)
+		p.startAnswered(now, r, a, c.overtaken())
 	}
 	p.dispatch(now)
 	return p.flush()
 }
 
-func (p *Pool) startAnswered(now time.Time, r *run, a *Answered) {
+func (p *Pool) startAnswered(now time.Time, r *run, a *Answered, overtaken bool) {
 	e, t := r.endpoint, r.task
 	if t != nil && (a.Reply == OK || a.Reply == Unknown) {
 		t.ran = true
@@ -282,7 +286,9 @@
 		if t != nil {
 			p.requeue(t)
 		}
-		p.yield(now, e)
+		if !overtaken {
+			p.yield(now, e)
+		}
 		return
 	}
 	p.stats.StartsRefused++
@@ -326,12 +332,12 @@
 	e := r.endpoint
 	c := p.call(e)
 	r.stopCall = c.Number
-	p.calls[c.Number] = r
+	p.calls[c.Number] = pending{endpoint: e, run: r, fence: c.Fence}
 	p.stats.Stops++
 	p.out = append(p.out, Stop{Call: c, Key: r.id.key, Run: r.id.run})
 }
 
-func (p *Pool) stopAnswered(now time.Time, r *run, a *Answered) {
+func (p *Pool) stopAnswered(now time.Time, r *run, a *Answered, overtaken bool) {
 	r.stopCall = 0
 	e := r.endpoint
 	switch a.Reply {
@@ -342,7 +348,10 @@
 			p.glance(now, e)
 		}
 	case Fenced:
-		p.yield(now, e)
+		r.nextStop = now
+		if !overtaken {
+			p.yield(now, e)
+		}
 	default:
 		r.nextStop = now.Add(p.cfg.StopRetry)
 	}
@@ -351,7 +360,7 @@
 // glance looks at an endpoint at once, beside a look that waits.
 func (p *Pool) glance(now time.Time, e *endpoint) {
 	look := Look{Call: p.call(e), Acknowledged: e.acknowledged, Until: e.leaseEnd(now, p.cfg.LeaseMax)}
-	p.calls[look.Number] = e
+	p.calls[look.Number] = pending{endpoint: e, fence: look.Fence}
 	p.stats.Looks++
 	p.out = append(p.out, look)
 }
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -29,7 +29,7 @@
 	waiting []*task // by startBy
 	// present holds the runs of each task that occupy an endpoint.
 	present map[job.Key][]*run
-	calls   map[uint64]any // *endpoint of a look, *run of a start or stop
+	calls   map[uint64]pending
 	number  uint64
 	// unsteady counts the endpoints that lately failed to answer a look.
 	unsteady int
@@ -40,11 +40,28 @@
 	estimate speed
 }
 
+// pending is a call that is not answered yet: a look at an endpoint, or an order
+// about a run.
+type pending struct {
+	endpoint *endpoint
+	run      *run
+	fence    Fence
+}
+
+// overtaken reports whether the endpoint has obeyed a higher fence of this owner
+// since the call, so that its refusal tells nothing.
+func (c pending) overtaken() bool { return c.fence < c.endpoint.fence }
+
 // Stats counts what the pool did.
 type Stats struct {
 	Starts, Done, Failed, Lost, Refused, Stops, Looks, LooksFailed uint64
 	Fenced, Adopted, Unclaimed, Restarts, StartsRefused            uint64
-	Waiting, Running, Held, Foreign, Endpoints                     int
+	Waiting, Running, Stopping, Endpoints                          int
+	// Of the endpoints, Held obey this owner and Foreign another; the others
+	// have not answered lately. Usable ones may start tasks now. Blocked ones run
+	// something of unknown room, Resting ones failed their tasks, and Missing
+	// ones are not in the list.
+	Held, Foreign, Usable, Blocked, Resting, Missing int
 }
 
 // New returns an inactive pool. It fails when cfg with its defaults is not
@@ -64,7 +81,7 @@
 	p.jobs = map[job.ID][]*batch{}
 	p.waiting = nil
 	p.present = map[job.Key][]*run{}
-	p.calls = map[uint64]any{}
+	p.calls = map[uint64]pending{}
 	p.ends = map[ident.Process][]job.End{}
 	p.estimate = speed{ratio: 1}
 	for _, e := range p.endpoints {
@@ -95,11 +112,23 @@
 func (p *Pool) Epoch() uint64 { return p.fence.Epoch() }
 
 // Stats returns the counters and the present sizes.
-func (p *Pool) Stats() Stats {
+func (p *Pool) Stats(now time.Time) Stats {
 	s := p.stats
 	s.Waiting, s.Endpoints = len(p.waiting), len(p.order)
+	count := func(n *int, when bool) {
+		if when {
+			*n++
+		}
+	}
 	for _, e := range p.order {
 		s.Running += len(e.runs)
+		for _, r := range e.runs {
+			count(&s.Stopping, r.phase == stopping)
+		}
+		count(&s.Usable, e.usable(now, p.cfg.MissingWait))
+		count(&s.Blocked, e.unclaimed > 0)
+		count(&s.Resting, now.Before(e.restUntil))
+		count(&s.Missing, !e.missingFrom.IsZero())
 		switch e.hold {
 		case held:
 			s.Held++
@@ -148,11 +177,11 @@
 	}
 }
 
-// Reclaim takes over the endpoints that another owner held, which now follows
-// this one.
+// Reclaim takes over the endpoints that another owner held, or may have taken
+// while they were out of reach. That owner now follows this one.
 func (p *Pool) Reclaim(now time.Time) []Action {
 	for _, e := range p.order {
-		if e.hold == foreign {
+		if e.hold != held {
 			e.hold, e.owned, e.nextLook = unseen, false, now
 		}
 	}
@@ -252,7 +281,7 @@
 		look.Until = e.leaseEnd(now, p.cfg.LeaseMax)
 	}
 	e.look = look.Number
-	p.calls[look.Number] = e
+	p.calls[look.Number] = pending{endpoint: e, fence: look.Fence}
 	p.stats.Looks++
 	p.out = append(p.out, look)
 }
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -48,8 +48,15 @@
 	p.ticked = now
 	p.act(now, p.core.Tick(now))
 	p.owned.Store(p.core.Owned())
+	if p.core.Owns() && now.Sub(p.told) >= stateInterval {
+		p.told = now
+		p.logState(now)
+	}
 }
 
+// stateInterval is the interval of the lines about what an owner believes.
+const stateInterval = time.Second
+
 // act carries out what the core decided.
 func (p *Process) act(now time.Time, actions []dispatcher.Action) {
 	for _, a := range actions {
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -45,6 +45,8 @@
 	next   home.Request
 	fleet  map[ident.InstanceID]Member
 	ticked time.Time
+	// told is when the last line about the owner's state was written.
+	told time.Time
 	// noticed and booted are the newest times that loop has seen.
 	noticed time.Time
 	booted  time.Duration
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// logState writes what the owner believes of its endpoints and tasks.
+func (p *Process) logState(now time.Time) {
+	s, age := p.core.Stats(now)
+	p.log.WithFields(logrus.Fields{
+		"endpoints": s.Endpoints, "usable": s.Usable, "held": s.Held, "foreign": s.Foreign, "blocked": s.Blocked,
+		"resting": s.Resting, "missing": s.Missing, "waiting": s.Waiting, "running": s.Running, "stopping": s.Stopping,
+		"starts": s.Starts, "lost": s.Lost, "fenced": s.Fenced, "looks-failed": s.LooksFailed,
+		"list-age": age.Round(time.Millisecond).String(), "epoch": p.core.Epoch(),
+	}).Info("state of the owner")
+}
+
 // logAnswer writes the line of a job that has ended.
 func (p *Process) logAnswer(a home.Answer) {
 	p.count.answer(a.Route, a.Result.String()).Inc()
