Reclaim endpoints as long as the whole fleet follows

Cause: 3 to 6 endpoints stayed with an owner that had given up after a cut, for up to 4 s, when its last orders came after the reclaim. Change: while every known instance is heard and follows this one, endpoints that seem to obey another owner are taken back after 0.15 s.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -154,6 +154,9 @@
 	c.endLost(now)
 	c.run(now, c.table.Tick(now))
 	if c.pool.Active() {
+		if c.pool.Foreign() && c.reclaim.IsZero() && c.view.Whole(now) {
+			c.reclaim = now.Add(reclaimWait)
+		}
 		if !c.reclaim.IsZero() && !now.Before(c.reclaim) {
 			c.reclaim = time.Time{}
 			c.own(now, c.pool.Reclaim(now))
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -381,6 +381,17 @@
 	return 2*heard < all || (2*heard == all && !lowestHeard)
 }
 
+// Whole reports whether every instance of the fleet is heard and follows this
+// one, so that no other owner can be alive.
+func (v *View) Whole(now time.Time) bool {
+	for _, p := range v.peers {
+		if v.known(now, p) && (!p.linked || p.pulse.Owner != v.cfg.Self) {
+			return false
+		}
+	}
+	return true
+}
+
 // Mine returns what this instance may own as the leader: everything, or, while
 // it is isolated, the share of its data centre's endpoints that its side has of
 // the data centre's instances.
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -177,6 +177,11 @@
 	}
 }
 
+// Foreign reports whether another owner seems to hold endpoints.
+func (p *Pool) Foreign() bool {
+	return slices.ContainsFunc(p.order, func(e *endpoint) bool { return e.hold == foreign })
+}
+
 // Reclaim takes over the endpoints that another owner held, or may have taken
 // while they were out of reach. That owner now follows this one.
 func (p *Pool) Reclaim(now time.Time) []Action {
