Test the owner of the endpoints by hand-driven calls

Fences that an activation had raised were not known to the next one of the same process, so that its looks could carry the fence of orders still on their way. Change: an activation uses a higher fence than any earlier one.

--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -140,10 +140,14 @@
 }
 
 // Activate makes the pool the owner of the endpoints that mine selects, under
-// the fence. What an earlier activation knew is dropped: looks find what runs,
-// and the homes place their tasks again.
+// the fence, or a higher one than it has used before. What an earlier activation
+// knew is dropped: looks find what runs, the homes place their tasks again, and
+// orders that are still on their way are refused.
 func (p *Pool) Activate(now time.Time, fence Fence, mine func(Endpoint) bool) []Action {
 	p.clear()
+	if fence <= p.fence {
+		fence = p.fence.raised(1)
+	}
 	p.active, p.fence, p.mine = true, fence, mine
 	for _, e := range p.order {
 		e.fence = fence
--- /dev/null
+++ b/internal/decide/owner/pool_test.go
@@ -0,0 +1,470 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+	"hornbeamlift.example/hornbeamlift/internal/standin/leased"
+)
+
+var (
+	epoch = time.Unix(1_800_000_000, 0)
+	home1 = ident.Process{Instance: "home-1", Incarnation: 1}
+	home2 = ident.Process{Instance: "home-2", Incarnation: 1}
+)
+
+// bench drives a pool by hand: its calls wait until the test carries them out.
+type bench struct {
+	t         *testing.T
+	is        *is.I
+	pool      *owner.Pool
+	now       time.Time
+	endpoints map[ident.EndpointID]*leased.Endpoint
+	entries   []owner.Endpoint
+	looks     []owner.Look
+	starts    []owner.Start
+	stops     []owner.Stop
+	ends      []job.End
+}
+
+func newBench(t *testing.T, endpoints int) *bench {
+	t.Helper()
+	pool, err := owner.New(owner.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, is: is.New(t), pool: pool, now: epoch, endpoints: map[ident.EndpointID]*leased.Endpoint{}}
+	for i := range endpoints {
+		entry := owner.Endpoint{
+			ID: ident.EndpointID(fmt.Sprint("e-", i)), Service: "render", Room: job.Room{CPU: 32_000, Memory: 1000},
+			Labels: []string{"a", fmt.Sprint("r-", i)}, Rack: fmt.Sprint("r-", i),
+		}
+		e := &leased.Endpoint{
+			Entry: entry, LeaseMax: time.Second, Rate: 1,
+			Plan:  func(job.Key) leased.Work { return leased.Work{Time: 100 * time.Millisecond} },
+			Needs: func(job.Key) job.Room { return job.Room{CPU: 10_000, Memory: 1} },
+		}
+		e.Boot(b.now)
+		b.endpoints[entry.ID] = e
+		b.entries = append(b.entries, e.Entry)
+	}
+	b.list()
+	b.take(pool.Activate(b.now, owner.NewFence(5, 1), func(owner.Endpoint) bool { return true }))
+	b.lookAll()
+	return b
+}
+
+// list hands the endpoints' entries to the pool.
+func (b *bench) list() {
+	b.entries = b.entries[:0]
+	for i := range len(b.endpoints) {
+		b.entries = append(b.entries, b.endpoints[ident.EndpointID(fmt.Sprint("e-", i))].Entry)
+	}
+	b.take(b.pool.SetEndpoints(b.now, b.entries))
+}
+
+func (b *bench) take(actions []owner.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case owner.Look:
+			b.looks = append(b.looks, a)
+		case owner.Start:
+			b.starts = append(b.starts, a)
+		case owner.Stop:
+			b.stops = append(b.stops, a)
+		case owner.Report:
+			b.ends = append(b.ends, a.Ends...)
+		}
+	}
+}
+
+// pass lets time go by.
+func (b *bench) pass(d time.Duration) {
+	b.now = b.now.Add(d)
+	for _, e := range b.endpoints {
+		e.Advance(b.now)
+	}
+	b.take(b.pool.Tick(b.now))
+}
+
+// lookAll carries out the looks that wait.
+func (b *bench) lookAll() {
+	looks := b.looks
+	b.looks = nil
+	for _, l := range looks {
+		out := b.endpoints[l.Endpoint].Look(b.now, l)
+		out.Sent = b.now
+		b.take(b.pool.Looked(b.now, &out))
+	}
+}
+
+// startAll carries out the starts that wait.
+func (b *bench) startAll() {
+	starts := b.starts
+	b.starts = nil
+	for _, s := range starts {
+		a := b.endpoints[s.Endpoint].Start(b.now, s)
+		b.take(b.pool.Answered(b.now, &a))
+	}
+}
+
+func (b *bench) stopAll() {
+	stops := b.stops
+	b.stops = nil
+	for _, s := range stops {
+		a := b.endpoints[s.Endpoint].Stop(b.now, s)
+		b.take(b.pool.Answered(b.now, &a))
+	}
+}
+
+// order returns an order for the first n tasks of a job.
+func order(id string, n int, cpu int64) job.Order {
+	o := job.Order{
+		Job: job.ID(id), Service: "render", Target: 300 * time.Millisecond, Deadline: 1500 * time.Millisecond,
+		Needs: job.Needs{Room: job.Room{CPU: cpu, Memory: 1}, Estimate: 100 * time.Millisecond},
+	}
+	for i := range n {
+		o.Indexes, o.FirstRuns = append(o.Indexes, i), append(o.FirstRuns, 1)
+	}
+	return o
+}
+
+func (b *bench) place(home ident.Process, o job.Order) {
+	b.take(b.pool.Place(b.now, home, []job.Order{o}))
+}
+
+// TestRoom guards against starts that bring an endpoint over its room, also
+// while what is being stopped still runs.
+func TestRoom(t *testing.T) {
+	b := newBench(t, 1)
+	b.place(home1, order("j", 5, 10_000))
+	b.is.Equal(len(b.starts), 3) // 32 cores hold three of ten
+	b.startAll()
+	b.take(b.pool.Withdraw(b.now, home1, "j"))
+	b.is.Equal(len(b.stops), 3)
+	b.place(home1, order("k", 1, 10_000))
+	b.is.Equal(len(b.starts), 0) // the stopped runs have not ended yet
+	b.stopAll()
+	b.pass(10 * time.Millisecond)
+	b.lookAll()
+	b.is.Equal(len(b.starts), 1)
+}
+
+// TestEnds guards against ends that are lost or reported twice.
+func TestEnds(t *testing.T) {
+	b := newBench(t, 1)
+	b.place(home1, order("j", 2, 10_000))
+	b.startAll()
+	b.pass(150 * time.Millisecond)
+	b.lookAll()
+	b.is.Equal(len(b.ends), 2)
+	for _, e := range b.ends {
+		b.is.Equal(e.Outcome, job.Done)
+	}
+	b.pass(10 * time.Millisecond)
+	b.lookAll()
+	b.is.Equal(len(b.ends), 2)
+}
+
+// TestUnansweredStart guards against a second run while the first may be
+// carried out late, and against stopping a run that only lost its answer.
+func TestUnansweredStart(t *testing.T) {
+	cases := map[string]struct {
+		carriedOut bool
+		stops      int
+	}{
+		"carried out":     {true, 0},
+		"not carried out": {false, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2)
+			b.place(home1, order("j", 1, 10_000))
+			start := b.starts[0]
+			b.starts = nil
+			if c.carriedOut {
+				b.endpoints[start.Endpoint].Start(b.now, start)
+			}
+			b.pass(20 * time.Millisecond)
+			b.take(b.pool.Answered(b.now, &owner.Answered{Call: start.Number, Reply: owner.Unknown}))
+			b.is.Equal(len(b.starts), 0)
+			b.pass(5 * time.Millisecond)
+			b.lookAll()
+			b.is.Equal(len(b.stops), c.stops)
+			b.is.Equal(len(b.starts), 0) // not before the stop is confirmed and seen
+			b.stopAll()
+			b.pass(5 * time.Millisecond)
+			b.lookAll()
+			b.is.Equal(len(b.starts), c.stops) // the second run, elsewhere or here
+			if c.stops > 0 {
+				b.is.Equal(b.endpoints[start.Endpoint].Start(b.now, start).Reply, owner.OldRun)
+			}
+		})
+	}
+}
+
+// TestLapse guards against a task of an endpoint that went silent which starts
+// again before its lease has surely run out, or never.
+func TestLapse(t *testing.T) {
+	b := newBench(t, 2)
+	b.place(home1, order("j", 1, 10_000))
+	silent := b.starts[0].Endpoint
+	b.startAll()
+	begun := b.now
+	for len(b.starts) == 0 && b.now.Sub(begun) < 5*time.Second {
+		b.pass(20 * time.Millisecond)
+		looks := b.looks
+		b.looks = nil
+		for _, l := range looks {
+			out := owner.Looked{Call: l.Number, Reply: owner.Unknown}
+			if l.Endpoint != silent {
+				out = b.endpoints[l.Endpoint].Look(b.now, l)
+			}
+			out.Sent = b.now
+			b.take(b.pool.Looked(b.now, &out))
+		}
+	}
+	b.is.Equal(len(b.ends), 1) // the deadline of 1.5 s passes first
+	b.is.Equal(b.ends[0].Outcome, job.Overdue)
+}
+
+// TestTakeover guards against runs of an earlier owner that are started again,
+// or kept without anybody who waits for them.
+func TestTakeover(t *testing.T) {
+	b := newBench(t, 1)
+	b.place(home1, order("j", 1, 10_000))
+	b.place(home2, order("k", 1, 10_000))
+	b.startAll()
+	b.pass(10 * time.Millisecond)
+	b.take(b.pool.Activate(b.now, owner.NewFence(6, 2), func(owner.Endpoint) bool { return true }))
+	handed := order("j", 1, 10_000)
+	handed.Handed = true
+	b.place(home1, handed)
+	b.lookAll()
+	b.is.Equal(len(b.starts), 0) // adopted
+	b.is.Equal(b.pool.Stats(b.now).Adopted, uint64(1))
+	b.place(home1, order("l", 1, 10_000))
+	b.is.Equal(len(b.starts), 0) // a run of unknown room is there
+	b.pass(50 * time.Millisecond)
+	b.is.Equal(len(b.stops), 0)
+	// The home of k does not place it in time.
+	for range 20 {
+		b.pass(20 * time.Millisecond)
+	}
+	b.lookAll()
+	b.pass(time.Millisecond)
+	b.is.True(b.pool.Stats(b.now).Unclaimed <= 1)
+}
+
+// TestHandedTask guards against a task of another owner that starts before every
+// endpoint was looked at since.
+func TestHandedTask(t *testing.T) {
+	b := newBench(t, 2)
+	b.pass(10 * time.Millisecond)
+	o := order("j", 1, 10_000)
+	o.Handed = true
+	b.place(home1, o)
+	b.is.Equal(len(b.starts), 0)
+	looks := b.looks
+	b.looks = nil
+	for _, l := range looks {
+		if l.Endpoint == "e-0" {
+			out := b.endpoints[l.Endpoint].Look(b.now, l)
+			out.Sent = b.now
+			b.take(b.pool.Looked(b.now, &out))
+		}
+	}
+	b.is.Equal(len(b.starts), 0) // e-1 may run it
+	b.pass(1700 * time.Millisecond)
+	b.is.Equal(b.ends[0].Outcome, job.Overdue) // its deadline of 1.5 s has passed
+}
+
+// TestLaterActivation guards against orders of an earlier activation that are
+// carried out after the looks of the next one.
+func TestLaterActivation(t *testing.T) {
+	b := newBench(t, 1)
+	b.place(home1, order("j", 1, 10_000))
+	late := b.starts[0]
+	b.starts = nil
+	b.pool.Deactivate()
+	b.take(b.pool.Activate(b.now, owner.NewFence(5, 1), func(owner.Endpoint) bool { return true }))
+	b.looks = b.looks[len(b.looks)-1:]
+	b.lookAll()
+	b.is.Equal(b.endpoints["e-0"].Start(b.now, late).Reply, owner.Fenced)
+}
+
+// TestOvertakenRefusal guards against an endpoint that is left alone because an
+// order under an earlier fence was refused.
+func TestOvertakenRefusal(t *testing.T) {
+	b := newBench(t, 1)
+	b.place(home1, order("j", 1, 10_000))
+	late := b.starts[0]
+	b.starts = nil
+	b.now = b.now.Add(50 * time.Millisecond)
+	b.endpoints["e-0"].Boot(b.now)
+	b.list()
+	for range 2 { // the second look raises the fence
+		b.pass(10 * time.Millisecond)
+		b.lookAll()
+	}
+	a := b.endpoints["e-0"].Start(b.now, late)
+	b.is.Equal(a.Reply, owner.Fenced)
+	b.take(b.pool.Answered(b.now, &a))
+	b.is.Equal(b.pool.Stats(b.now).Foreign, 0)
+	b.is.Equal(b.pool.Stats(b.now).Held, 1)
+}
+
+// TestShortLease guards against runs of an earlier owner that live longer than
+// the wait of their homes, which may have started their tasks elsewhere.
+func TestShortLease(t *testing.T) {
+	b := newBench(t, 1)
+	b.place(home1, order("j", 1, 10_000))
+	b.startAll()
+	b.take(b.pool.Activate(b.now, owner.NewFence(6, 2), func(owner.Endpoint) bool { return true }))
+	b.looks = b.looks[len(b.looks)-1:]
+	b.lookAll()
+	b.pass(10 * time.Millisecond)
+	look := b.looks[len(b.looks)-1]
+	clock := b.endpoints["e-0"].Look(b.now, look).Clock
+	cfg := owner.Config{}.Defaults()
+	b.is.True(look.Until > 0)
+	b.is.True(time.Duration(look.Until-clock)*time.Millisecond <= cfg.AdoptWait+150*time.Millisecond)
+}
+
+// TestHiddenEndpoint guards against forgetting an endpoint that a cut hides from
+// the list, on which another owner may run a task that is handed over.
+func TestHiddenEndpoint(t *testing.T) {
+	b := newBench(t, 2)
+	visible := b.entries[:1]
+	for range 200 { // 5 s
+		b.now = b.now.Add(25 * time.Millisecond)
+		b.take(b.pool.SetEndpoints(b.now, visible))
+		looks := b.looks
+		b.looks = nil
+		for _, l := range looks {
+			out := owner.Looked{Call: l.Number, Reply: owner.Unknown}
+			if l.Endpoint == "e-0" {
+				out = b.endpoints[l.Endpoint].Look(b.now, l)
+			}
+			out.Sent = b.now
+			b.take(b.pool.Looked(b.now, &out))
+		}
+	}
+	o := order("j", 1, 10_000)
+	o.Handed = true
+	b.place(home1, o)
+	for _, l := range b.looks {
+		if l.Endpoint == "e-0" {
+			out := b.endpoints[l.Endpoint].Look(b.now, l)
+			out.Sent = b.now
+			b.take(b.pool.Looked(b.now, &out))
+		}
+	}
+	b.is.Equal(len(b.starts), 0)
+}
+
+// TestNewLife guards against tasks that are believed to run on an endpoint which
+// has started anew, and against orders to its earlier life.
+func TestNewLife(t *testing.T) {
+	b := newBench(t, 1)
+	b.place(home1, order("j", 1, 10_000))
+	late := b.starts[0]
+	b.startAll()
+	b.now = b.now.Add(50 * time.Millisecond)
+	b.endpoints["e-0"].Boot(b.now)
+	b.pass(10 * time.Millisecond)
+	b.lookAll()
+	b.is.Equal(len(b.stops), 1) // nothing else proves that the new life does not run it
+	b.stopAll()
+	b.list() // the entry of the new life
+	b.pass(10 * time.Millisecond)
+	b.lookAll()
+	b.pass(10 * time.Millisecond)
+	b.lookAll()
+	b.is.Equal(len(b.starts), 1)
+	b.is.Equal(b.starts[0].Run, 2)
+	b.is.Equal(b.endpoints["e-0"].Start(b.now, late).Reply, owner.Fenced)
+}
+
+// TestWhere guards against starts where the needs of a step forbid them.
+func TestWhere(t *testing.T) {
+	cases := map[string]struct {
+		change func(o *job.Order)
+		starts int
+		on     ident.EndpointID
+	}{
+		"label":          {func(o *job.Order) { o.Needs.RequiredLabel = "r-1" }, 3, "e-1"},
+		"unknown label":  {func(o *job.Order) { o.Needs.RequiredLabel = "x" }, 0, ""},
+		"one each":       {func(o *job.Order) { o.Needs.MaxPerEndpoint = 1 }, 2, ""},
+		"same rack":      {func(o *job.Order) { o.Needs.SameRack = true }, 3, ""},
+		"affinity":       {func(o *job.Order) { o.Needs.Affinity = "r-1"; o.Indexes = o.Indexes[:1] }, 1, "e-1"},
+		"other service":  {func(o *job.Order) { o.Service = "other" }, 0, ""},
+		"no room at all": {func(o *job.Order) { o.Needs.Room.CPU = 64_000 }, 0, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2)
+			o := order("j", 4, 10_000)
+			c.change(&o)
+			b.place(home1, o)
+			b.is.Equal(len(b.starts), c.starts)
+			racks := map[ident.EndpointID]bool{}
+			for _, s := range b.starts {
+				racks[s.Endpoint] = true
+				b.is.True(c.on == "" || s.Endpoint == c.on)
+			}
+			b.is.True(!o.Needs.SameRack || len(racks) == 1)
+		})
+	}
+}
+
+// TestDraining guards against tasks that start on an endpoint which leaves.
+func TestDraining(t *testing.T) {
+	b := newBench(t, 1)
+	b.endpoints["e-0"].Entry.Draining = true
+	b.list()
+	b.place(home1, order("j", 1, 10_000))
+	b.is.Equal(len(b.starts), 0)
+}
+
+// TestFailingEndpoint guards against an endpoint that fails all tasks and keeps
+// getting them.
+func TestFailingEndpoint(t *testing.T) {
+	b := newBench(t, 2)
+	b.endpoints["e-0"].Plan = func(job.Key) leased.Work { return leased.Work{Time: 5 * time.Millisecond, Fails: true} }
+	failed := 0
+	for i := range 40 {
+		b.place(home1, order(fmt.Sprint("j", i), 1, 10_000))
+		b.startAll()
+		b.pass(10 * time.Millisecond)
+		b.lookAll()
+	}
+	for _, e := range b.ends {
+		if e.Outcome == job.Failed {
+			failed++
+		}
+	}
+	b.is.True(failed > 0 && failed < 8)
+}
+
+// TestResentJob guards against two runs of a task when its caller hands the job
+// in again through another home.
+func TestResentJob(t *testing.T) {
+	b := newBench(t, 2)
+	b.place(home1, order("j", 1, 10_000))
+	b.startAll()
+	b.place(home2, order("j", 1, 10_000))
+	b.is.Equal(len(b.starts), 0)
+	b.is.Equal(len(b.stops), 1)
+	b.stopAll()
+	b.pass(time.Millisecond)
+	b.lookAll()
+	b.is.Equal(len(b.starts), 1)
+	b.is.Equal(b.starts[0].Run, 2)
+}
