--- a/internal/decide/owner/calls.go
+++ b/internal/decide/owner/calls.go
@@ -81,6 +81,7 @@
 	}
 	p.settle(e, l.Sent, listed)
 	p.miss(e, l.Clock, listed)
+	p.restartStalled(now, e)
 }
 
 // restart takes note that the endpoint lives anew and runs nothing of before.
--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -496,3 +496,27 @@
 		})
 	}
 }
+
+// TestStalledTask guards against tasks that stand still on an endpoint until
+// their callers give up, and against more than one restart.
+func TestStalledTask(t *testing.T) {
+	b := newBench(t, 2)
+	for _, e := range b.endpoints {
+		e.Plan = func(job.Key) leased.Work { return leased.Work{Time: time.Hour} }
+	}
+	o := order("j", 1, 10_000)
+	o.Deadline = 10 * time.Second
+	b.place(home1, o)
+	first := b.starts[0].Endpoint
+	var second []owner.Start
+	for range 120 { // 3 s
+		b.startAll()
+		b.stopAll()
+		b.pass(25 * time.Millisecond)
+		b.lookAll()
+		second = append(second, b.starts...)
+	}
+	b.is.Equal(len(second), 1)
+	b.is.True(second[0].Endpoint != first)
+	b.is.Equal(second[0].Run, 2)
+}
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -48,6 +48,8 @@
 	ran    bool
 	queued bool
 	waited time.Duration
+	// restarts counts the runs that were given up for want of progress.
+	restarts int
 	// tries counts the starts that endpoints refused.
 	tries int
 }
