Judge endpoints of which few runs are known by those like them

Cause: after a start all endpoints count as equally fast, and the first hundred tasks are spread over fast and slow ones alike. Change: until eight runs are known, the ratio of the data centre's endpoints of the same kind counts in part.

--- a/internal/decide/owner/calls.go
+++ b/internal/decide/owner/calls.go
@@ -197,7 +197,7 @@
 	}
 	ratio := float64(ran) / expected
 	e.speed.learn(ratio)
-	p.estimate.learn(ratio)
+	p.kindOf(e).learn(ratio)
 }
 
 // rest pauses an endpoint that fails what it starts.
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -83,21 +83,21 @@
 		if !p.allowed(b, e) {
 			continue
 		}
-		time := e.speed.ratio
+		time := e.speed.over(p.kindOf(e))
 		if p.far(b, e) {
 			time *= p.cfg.FarFactor
 		}
 		left := float64(e.free().CPU - b.needs.Room.CPU)
-		if best == nil || time < bestTime*(1-likeness) || (time < bestTime*(1+likeness) && left < bestLeft) {
+		if best == nil || time < bestTime*(1-likeTimes) || (time < bestTime*(1+likeTimes) && left < bestLeft) {
 			best, bestTime, bestLeft = e, time, left
 		}
 	}
 	return best
 }
 
-// likeness is the difference in speed, as a fraction, below which the room
+// likeTimes is the difference in speed, as a fraction, below which the room
 // decides.
-const likeness = 0.08
+const likeTimes = 0.08
 
 // allowed reports whether the endpoint may run another task of the batch.
 func (p *Pool) allowed(b *batch, e *endpoint) bool {
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -132,15 +132,26 @@
 const (
 	// speedWeight is the share of the newest run in the learned ratio.
 	speedWeight = 0.08
-	// speedFull is how many runs the initial ratio counts for.
+	// speedFull is the number of runs from which on an endpoint's own ratio
+	// counts alone.
 	speedFull = 8
 )
 
+// over returns the learned ratio, where few runs are known together with that of
+// like endpoints.
+func (s *speed) over(like *speed) float64 {
+	if s.weight >= speedFull || like == nil {
+		return s.ratio
+	}
+	own := s.weight / speedFull
+	return own*s.ratio + (1-own)*like.ratio
+}
+
 // learn takes the ratio of a run's time to its estimate.
 func (s *speed) learn(ratio float64) {
 	ratio = math.Min(math.Max(ratio, 0.1), 20)
 	s.weight++
-	share := math.Max(speedWeight, 1/(s.weight+speedFull))
+	share := math.Max(speedWeight, 1/s.weight)
 	s.ratio += share * (ratio - s.ratio)
 }
 
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -38,8 +38,23 @@
 	ends     map[ident.Process][]job.End
 	out      []Action
 	stats    Stats
-	// estimate learns the ratio of run time to estimate over all endpoints.
-	estimate speed
+	// kinds learns the ratio of run time to estimate over like endpoints.
+	kinds map[likeness]*speed
+}
+
+// likeness names the endpoints that are likely to be equally fast.
+type likeness struct {
+	dataCentre ident.DataCentre
+	kind       string
+}
+
+// kindOf returns what is known of endpoints like e.
+func (p *Pool) kindOf(e *endpoint) *speed {
+	k := likeness{dataCentre: e.DataCentre, kind: e.Kind}
+	if p.kinds[k] == nil {
+		p.kinds[k] = &speed{ratio: 1}
+	}
+	return p.kinds[k]
 }
 
 // pending is a call that is not answered yet: a look at an endpoint, or an order
@@ -86,7 +101,7 @@
 	p.inherited = map[job.Key]inherited{}
 	p.calls = map[uint64]pending{}
 	p.ends = map[ident.Process][]job.End{}
-	p.estimate = speed{ratio: 1}
+	p.kinds = map[likeness]*speed{}
 	for _, e := range p.endpoints {
 		e.forget()
 	}
