Look at endpoints before they are used again, and read the list first

Ruled out: room counted wrongly; fences of one process alone. Change: endpoints outside the share count as unseen, and a look vouches for 1.5 s; tasks of another owner also wait for a list that was read since; tasks that wait are held 0.65 s when another owner shows or isolation ends; a change of owner is told at once.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -222,10 +222,15 @@
 	}
 	if known && lead != c.followed {
 		c.followed = lead
+		// An earlier owner drops this home's tasks as soon as it hears that.
+		c.pulse(now, c.view.Peers())
 		c.out = append(c.out, Following{Owner: lead, Own: mine, Epoch: c.view.Epoch(), Isolated: isolated})
 	}
 	if isolated != c.isolated {
 		c.isolated = isolated
+		if !isolated && c.pool.Active() {
+			c.pool.Hesitate(now)
+		}
 		c.out = append(c.out, Isolation{Isolated: isolated})
 	}
 	c.run(now, c.table.SetOwner(now, lead, known && (mine || c.view.Alive(lead))))
@@ -298,7 +303,7 @@
 	case List:
 		if at := now.Add(-m.Age); at.After(c.listAt) {
 			c.list, c.listAt = m.Endpoints, at
-			c.own(now, c.pool.SetEndpoints(now, c.list))
+			c.own(now, c.pool.SetEndpoints(now, c.listAt, c.list))
 		}
 	}
 	return c.flush()
@@ -355,7 +360,7 @@
 func (c *Core) SetList(now time.Time, list []owner.Endpoint) (actions []Action, changed bool) {
 	changed = !slices.EqualFunc(list, c.list, sameEndpoint)
 	c.list, c.listAt = list, now
-	c.own(now, c.pool.SetEndpoints(now, list))
+	c.own(now, c.pool.SetEndpoints(now, now, list))
 	lead, known := c.view.Owner()
 	switch {
 	case known && lead == c.self && changed:
--- a/internal/decide/owner/calls.go
+++ b/internal/decide/owner/calls.go
@@ -43,7 +43,10 @@
 
 // accept takes the lists of an endpoint.
 func (p *Pool) accept(now time.Time, e *endpoint, l *Looked) {
-	if e.seenBorn != l.Born && e.seenBorn != 0 {
+	switch {
+	case l.Born < e.seenBorn:
+		return // a late answer of an earlier life
+	case e.seenBorn != l.Born && e.seenBorn != 0:
 		p.restart(now, e, l)
 		return
 	}
@@ -88,7 +91,8 @@
 // Its new life has seen no fence, so that orders to the old one that are still
 // on their way would be carried out; a higher fence refuses them.
 func (p *Pool) restart(now time.Time, e *endpoint, l *Looked) {
-	e.acknowledged, e.until, e.clock = 0, 0, 0
+	// Starts on their way may have extended the lease of the new life.
+	e.acknowledged, e.clock, e.until = 0, 0, l.Clock+Moment(p.cfg.LeaseMax.Milliseconds())
 	e.hold = unseen
 	p.raise(e)
 	listed := map[runID]bool{}
@@ -223,7 +227,7 @@
 
 // yield leaves an endpoint to another owner for a while. That owner stops its
 // runs unless their homes claim them. Homes may have gone over to it, which
-// their next pulses tell.
+// their pulses, or the lack of them, tell soon.
 func (p *Pool) yield(now time.Time, e *endpoint) {
 	p.stats.Fenced++
 	if e.hold == foreign {
@@ -231,9 +235,7 @@
 	}
 	e.hold, e.seenAt = foreign, time.Time{}
 	e.nextLook = now.Add(p.cfg.ForeignWait)
-	if now.After(p.restUntil.Add(p.cfg.ForeignWait / 2)) {
-		p.restUntil = now.Add(p.cfg.YieldRest)
-	}
+	p.Hesitate(now)
 	for _, r := range slices.Clone(e.runs) {
 		if t := r.task; t != nil {
 			p.remove(r)
@@ -245,6 +247,14 @@
 	}
 }
 
+// Hesitate delays the tasks that wait, since their homes may have gone over to
+// another owner.
+func (p *Pool) Hesitate(now time.Time) {
+	for _, t := range p.waiting {
+		t.notBefore = now.Add(p.cfg.YieldWait)
+	}
+}
+
 // Answered takes the result of a Start or Stop.
 func (p *Pool) Answered(now time.Time, a *Answered) []Action {
 	c, ok := p.calls[a.Call]
--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -32,9 +32,9 @@
 	UnsteadyWait time.Duration
 	UnsteadyStep time.Duration
 	UnsteadyTime time.Duration
-	// YieldRest is how long nothing starts after another owner has shown, so
-	// that homes can tell that they follow it.
-	YieldRest time.Duration
+	// YieldWait is how long waiting tasks are not started after another owner
+	// has shown. It exceeds the silence after which a home counts as lost.
+	YieldWait time.Duration
 	// LookRetry is the pause after looks that failed in a row.
 	LookRetry time.Duration
 	// StopRetry is the pause after a stop that failed.
@@ -80,7 +80,7 @@
 	set(&c.UnsteadyWait, 60*time.Millisecond)
 	set(&c.UnsteadyStep, 4*time.Millisecond)
 	set(&c.UnsteadyTime, 5*time.Second)
-	set(&c.YieldRest, 130*time.Millisecond)
+	set(&c.YieldWait, 650*time.Millisecond)
 	set(&c.LookRetry, 50*time.Millisecond)
 	set(&c.StopRetry, 50*time.Millisecond)
 	set(&c.AdoptWait, 300*time.Millisecond)
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -78,10 +78,14 @@
 // free returns the room that is left.
 func (e *endpoint) free() job.Room { return e.Room.Minus(e.used) }
 
+// seenTime is how long a look vouches for an endpoint. It exceeds the wait of
+// any look.
+const seenTime = 1500 * time.Millisecond
+
 // usable reports whether the endpoint may start tasks now.
 func (e *endpoint) usable(now time.Time, missingWait time.Duration) bool {
 	return e.hold == held && !e.Draining && e.failures == 0 && e.unclaimed == 0 &&
-		e.Born == e.seenBorn && !now.Before(e.restUntil) &&
+		e.Born == e.seenBorn && now.Sub(e.seenAt) <= seenTime && !now.Before(e.restUntil) &&
 		(e.missingFrom.IsZero() || now.Sub(e.missingFrom) < missingWait)
 }
 
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -111,13 +111,13 @@
 	p.stats.Adopted++
 }
 
-// seenSince returns the time since which every endpoint has been looked at.
-// What an earlier owner started before then shows in the lists, and what it
-// orders later is refused.
+// seenSince returns the time since which the list of endpoints was read and
+// every one of them looked at. What an earlier owner started before then shows
+// in the lists of runs, and what it orders later is refused.
 func (p *Pool) seenSince() time.Time {
-	var since time.Time
-	for i, e := range p.order {
-		if i == 0 || e.seenAt.Before(since) {
+	since := p.listedAt
+	for _, e := range p.order {
+		if e.seenAt.Before(since) {
 			since = e.seenAt
 		}
 	}
@@ -126,6 +126,9 @@
 
 // certain reports whether no earlier owner can have the task running.
 func (p *Pool) certain(now, seen time.Time, t *task) bool {
+	if now.Before(t.notBefore) {
+		return false
+	}
 	return t.handed.IsZero() || !seen.Before(t.handed) || now.Sub(t.handed) >= p.cfg.OrphanWait
 }
 
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -23,7 +23,9 @@
 	mine      func(Endpoint) bool
 	endpoints map[ident.EndpointID]*endpoint
 	order     []*endpoint // by id, so that decisions repeat
-	batches   map[batchID]*batch
+	// listedAt is when the list was read.
+	listedAt time.Time
+	batches  map[batchID]*batch
 	// jobs holds the batches of each job, from any home.
 	jobs    map[job.ID][]*batch
 	waiting []*task // by startBy
@@ -215,9 +217,10 @@
 	return p.Tick(now)
 }
 
-// SetEndpoints takes the list. Endpoints without an entry are kept while they
-// run something.
-func (p *Pool) SetEndpoints(now time.Time, list []Endpoint) []Action {
+// SetEndpoints takes the list, which was read at a time. Endpoints without an
+// entry are kept for a while, and while they run something.
+func (p *Pool) SetEndpoints(now, read time.Time, list []Endpoint) []Action {
+	p.listedAt = read
 	listed := make(map[ident.EndpointID]bool, len(list))
 	for _, entry := range list {
 		listed[entry.ID] = true
@@ -272,7 +275,11 @@
 
 // tend keeps the lease of an endpoint and what should stop there.
 func (p *Pool) tend(now time.Time, e *endpoint) {
-	if e.look == 0 && !now.Before(e.nextLook) && (p.mine(e.Endpoint) || len(e.runs) > 0) {
+	switch wanted := p.mine(e.Endpoint) || len(e.runs) > 0; {
+	case !wanted && e.hold == held:
+		// Another owner may take it over unnoticed.
+		e.hold, e.owned = unseen, false
+	case wanted && e.look == 0 && !now.Before(e.nextLook):
 		p.lookAt(now, e)
 	}
 	if e.failures > 0 && len(e.runs) > 0 && e.lapsed(now, &p.cfg) {
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -44,6 +44,8 @@
 	// it on an endpoint that this owner has not looked at since. It is zero for
 	// others.
 	handed time.Time
+	// notBefore delays the start while its home may follow another owner.
+	notBefore time.Time
 	// ran is set once a run may have started.
 	ran    bool
 	queued bool
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -91,6 +91,10 @@
 	})
 	if f.Own {
 		p.count.takeovers.Inc()
+		select {
+		case p.owning <- struct{}{}:
+		default:
+		}
 		line.Info("owning the endpoints")
 		return
 	}
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -35,9 +35,11 @@
 	// config is the configuration in force, with its content for peers.
 	config   atomic.Pointer[configInForce]
 	draining atomic.Bool
-	owned    atomic.Bool
-	ctx      context.Context
-	jobs     *Jobs
+	// owning holds a token when this instance has begun to own the endpoints.
+	owning chan struct{}
+	owned  atomic.Bool
+	ctx    context.Context
+	jobs   *Jobs
 
 	// The fields below belong to loop.
 	core   *dispatcher.Core
@@ -73,11 +75,12 @@
 	now := set.Clock.Now()
 	p := &Process{
 		set: set, ports: ports, metrics: metrics.NewSet(),
-		self:  ident.Process{Instance: set.Instance, Incarnation: newIncarnation(now)},
-		posts: make(chan func(time.Time), postBacklog),
-		wait:  map[home.Request]chan<- home.Answer{},
-		fleet: map[ident.InstanceID]Member{},
-		log:   set.Log.WithFields(logrus.Fields{"instance": set.Instance, "data-centre": set.DataCentre}),
+		self:   ident.Process{Instance: set.Instance, Incarnation: newIncarnation(now)},
+		posts:  make(chan func(time.Time), postBacklog),
+		owning: make(chan struct{}, 1),
+		wait:   map[home.Request]chan<- home.Answer{},
+		fleet:  map[ident.InstanceID]Member{},
+		log:    set.Log.WithFields(logrus.Fields{"instance": set.Instance, "data-centre": set.DataCentre}),
 	}
 	p.jobs = &Jobs{process: p}
 	var err error
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -106,9 +106,15 @@
 	}).Info("job answered")
 }
 
-// logStart writes a line for a start that an endpoint did not take.
+// logStart writes a line for a start that an endpoint did not take, and at the
+// level of debug for all others.
 func (p *Process) logStart(s owner.Start, a owner.Answered) {
 	if a.Reply == owner.OK {
+		if p.set.Log.IsLevelEnabled(logrus.DebugLevel) {
+			p.log.WithFields(logrus.Fields{
+				"task": s.Key.String(), "run": s.Run, "endpoint": s.Endpoint, "until": s.Until, "fence": s.Fence, "clock": a.Clock,
+			}).Debug("started")
+		}
 		return
 	}
 	p.log.WithFields(logrus.Fields{
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -175,7 +175,7 @@
 	link := dependency{log: p.log.WithField("dependency", "list of endpoints in the store")}
 	for ctx.Err() == nil {
 		if !p.wanted() {
-			p.sleep(p.set.ListInterval)
+			p.pause(p.set.ListInterval)
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, p.set.StoreTimeout)
@@ -188,11 +188,24 @@
 			continue
 		}
 		p.post(func(now time.Time) { p.listed(now, list) })
-		p.sleep(p.set.ListInterval)
+		p.pause(p.set.ListInterval)
 	}
 	return nil
 }
 
+// pause waits for d, or until this instance owns the endpoints, since a new
+// owner needs a list that is newer than its predecessor's orders.
+func (p *Process) pause(d time.Duration) {
+	done := make(chan struct{})
+	timer := p.set.Clock.AfterFunc(d, func() { close(done) })
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-p.owning:
+	case <-p.ctx.Done():
+	}
+}
+
 // wanted asks loop whether the list should be read.
 func (p *Process) wanted() (wanted bool) {
 	p.jobs.ask(func(time.Time) { wanted = p.core.WantsList() })
