Split the owner's file of calls, and drop what nothing reads

Cause: calls.go and pool.go had grown to nearly 400 lines with three matters each, and the configuration was decoded into fields that nothing used. No decision changes.

--- a/internal/adapter/logline/writer_test.go
+++ b/internal/adapter/logline/writer_test.go
@@ -1,6 +1,7 @@
 package logline_test
 
 import (
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -51,6 +52,7 @@
 	is.True(w.Dropped() > 7000)
 	close(to.release)
 	for to.count("log lines were dropped") == 0 {
+		runtime.Gosched()
 	}
 }
 
@@ -64,6 +66,7 @@
 	_, err := w.Write(long)
 	is.NoErr(err)
 	for to.count("x") == 0 {
+		runtime.Gosched()
 	}
 	to.mu.Lock()
 	defer to.mu.Unlock()
--- a/internal/decide/home/ends.go
+++ b/internal/decide/home/ends.go
@@ -143,7 +143,7 @@
 	t.remember(now, e.spec.ID, result)
 	t.out = append(t.out, Answer{
 		Requests: e.requests, Job: e.spec.ID, Result: result, RetryAfter: after, Open: now.Sub(e.opened),
-		Target: e.target.Sub(e.opened), Deadline: e.deadline.Sub(e.opened), Reason: reason, Route: e.terms.Route, Ends: e.ends,
+		Target: e.target.Sub(e.opened), Deadline: e.deadline.Sub(e.opened), Reason: reason, Route: e.terms.Route, ConfigVersion: e.terms.ConfigVersion, Ends: e.ends,
 	})
 }
 
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -81,7 +81,9 @@
 	Deadline time.Duration
 	Reason   string
 	Route    string
-	Ends     []job.End
+	// ConfigVersion is the version of the configuration that set the terms.
+	ConfigVersion uint64
+	Ends          []job.End
 }
 
 func (Place) action()    {}
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"hornbeamlift.example/hornbeamlift/internal/core/job"
 )
 
 // dispatch starts waiting tasks on endpoints with room. Tasks that can still be
@@ -158,14 +156,3 @@
 	p.stats.Starts++
 	p.out = append(p.out, s)
 }
-
-// Room returns the room of all endpoints of a service that may be used, and
-// what of it is taken.
-func (p *Pool) Room(now time.Time) (all, used job.Room) {
-	for _, e := range p.order {
-		if e.usable(now, p.cfg.MissingWait) {
-			all, used = all.Plus(e.Room), used.Plus(e.used)
-		}
-	}
-	return all, used
-}
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 )
 
@@ -159,6 +160,21 @@
 	s.ratio += share * (ratio - s.ratio)
 }
 
+// likeness names the endpoints that are likely to be equally fast.
+type likeness struct {
+	dataCentre ident.DataCentre
+	kind       string
+}
+
+// kindOf returns what is known of endpoints like e.
+func (p *Pool) kindOf(e *endpoint) *speed {
+	k := likeness{dataCentre: e.DataCentre, kind: e.Kind}
+	if p.kinds[k] == nil {
+		p.kinds[k] = &speed{ratio: 1}
+	}
+	return p.kinds[k]
+}
+
 // health counts failures in a row and the rests that they caused.
 type health struct {
 	failed int
--- a/internal/decide/owner/calls.go
+++ b/internal/decide/owner/look.go
@@ -7,6 +7,30 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 )
 
+// lookAt renews the lease of an endpoint and asks for its lists.
+func (p *Pool) lookAt(now time.Time, e *endpoint) {
+	wait := p.cfg.LookWait
+	if e.hold == foreign {
+		p.raise(e)
+	}
+	switch {
+	case e.hold != held || e.failures > 0:
+		wait = 0
+	case len(e.runs) == 0:
+		wait = p.cfg.IdleWait
+	case now.Before(e.unsteadyUntil):
+		wait = min(wait, p.cfg.UnsteadyWait+time.Duration(p.unsteady)*p.cfg.UnsteadyStep)
+	}
+	look := Look{Call: p.call(e), Acknowledged: e.acknowledged, Wait: wait}
+	if e.clock > 0 {
+		look.Until = e.leaseEnd(now, p.cfg.LeaseMax)
+	}
+	e.look = look.Number
+	p.calls[look.Number] = pending{endpoint: e, fence: look.Fence}
+	p.stats.Looks++
+	p.out = append(p.out, look)
+}
+
 // Looked takes the result of a Look.
 func (p *Pool) Looked(now time.Time, l *Looked) []Action {
 	c, ok := p.calls[l.Call]
@@ -211,164 +235,6 @@
 	}
 }
 
-// fenced takes note that a look was refused. An endpoint that this owner did
-// not hold yet may only remember an owner that is gone.
-func (p *Pool) fenced(now time.Time, e *endpoint) {
-	if e.hold == unseen && !e.owned && e.climb < maxClimb {
-		p.raise(e)
-		e.nextLook = now
-		return
-	}
-	p.yield(now, e)
-}
-
-// maxClimb bounds the epochs by which a fence rises at once.
-const maxClimb = 1 << 16
-
-// yield leaves an endpoint to another owner for a while. That owner stops its
-// runs unless their homes claim them. Homes may have gone over to it, which
-// their pulses, or the lack of them, tell soon.
-func (p *Pool) yield(now time.Time, e *endpoint) {
-	p.stats.Fenced++
-	if e.hold == foreign {
-		return
-	}
-	e.hold, e.seenAt = foreign, time.Time{}
-	e.nextLook = now.Add(p.cfg.ForeignWait)
-	p.Hesitate(now)
-	for _, r := range slices.Clone(e.runs) {
-		if t := r.task; t != nil {
-			p.remove(r)
-			t.handed = now
-			p.requeue(t)
-			continue
-		}
-		p.remove(r)
-	}
-}
-
-// Hesitate delays the tasks that wait, since their homes may have gone over to
-// another owner.
-func (p *Pool) Hesitate(now time.Time) {
-	for _, t := range p.waiting {
-		t.notBefore = now.Add(p.cfg.YieldWait)
-	}
-}
-
-// Answered takes the result of a Start or Stop.
-func (p *Pool) Answered(now time.Time, a *Answered) []Action {
-	c, ok := p.calls[a.Call]
-	delete(p.calls, a.Call)
-	r := c.run
-	if !ok || c.endpoint.find(r.id) != r {
-		return nil
-	}
-	if a.Clock > 0 && a.Clock > r.endpoint.clock {
-		r.endpoint.read(now, a.Clock)
-	}
-	if r.stopCall == a.Call {
-		p.stopAnswered(now, r, a, c.overtaken())
-	} else {
-		p.startAnswered(now, r, a, c.overtaken())
-	}
-	p.dispatch(now)
-	return p.flush()
-}
-
-func (p *Pool) startAnswered(now time.Time, r *run, a *Answered, overtaken bool) {
-	e, t := r.endpoint, r.task
-	if t != nil && (a.Reply == OK || a.Reply == Unknown) {
-		t.ran = true
-	}
-	switch a.Reply {
-	case OK:
-		if r.phase == starting {
-			r.phase = running
-		}
-		r.mark = max(r.mark, a.Clock)
-		return
-	case Unknown:
-		// A look tells whether it was carried out.
-		r.doubted, r.doubtedAt = true, now
-		p.stats.StartsRefused++
-		p.glance(now, e)
-		return
-	case Fenced:
-		p.remove(r)
-		if t != nil {
-			p.requeue(t)
-		}
-		if !overtaken {
-			p.yield(now, e)
-		}
-		return
-	}
-	p.stats.StartsRefused++
-	p.remove(r)
-	if a.Reply != OldRun && a.Reply != Late {
-		e.restUntil = now.Add(p.cfg.Cooldown)
-		e.health.trial = true
-	}
-	if t == nil {
-		return
-	}
-	if a.Reply == OldRun {
-		t.nextRun += runsAfterOld
-	}
-	t.tries++
-	if t.tries >= maxTries {
-		p.finish(t, job.End{Run: r.id.run, Outcome: job.Refused, Endpoint: e.ID, RetryAfter: p.cfg.RetryAfter})
-		return
-	}
-	p.requeue(t)
-}
-
-const (
-	// runsAfterOld is how far the number of a run rises when an endpoint knows
-	// a later one, which an earlier home of the job started.
-	runsAfterOld = 100
-	// maxTries bounds the starts of one task that endpoints refuse.
-	maxTries = 20
-)
-
-// stop ends a run. It occupies its room until it is gone.
-func (p *Pool) stop(r *run) {
-	if r.phase == stopping {
-		return
-	}
-	r.phase = stopping
-	p.sendStop(r)
-}
-
-func (p *Pool) sendStop(r *run) {
-	e := r.endpoint
-	c := p.call(e)
-	r.stopCall = c.Number
-	p.calls[c.Number] = pending{endpoint: e, run: r, fence: c.Fence}
-	p.stats.Stops++
-	p.out = append(p.out, Stop{Call: c, Key: r.id.key, Run: r.id.run})
-}
-
-func (p *Pool) stopAnswered(now time.Time, r *run, a *Answered, overtaken bool) {
-	r.stopCall = 0
-	e := r.endpoint
-	switch a.Reply {
-	case OK:
-		r.stopped, r.mark = true, max(r.mark, a.Clock)
-		if e.look == 0 || r.doubted {
-			// A run that never started has no end that a look could wait for.
-			p.glance(now, e)
-		}
-	case Fenced:
-		r.nextStop = now
-		if !overtaken {
-			p.yield(now, e)
-		}
-	default:
-		r.nextStop = now.Add(p.cfg.StopRetry)
-	}
-}
-
 // glance looks at an endpoint at once, beside a look that waits.
 func (p *Pool) glance(now time.Time, e *endpoint) {
 	look := Look{Call: p.call(e), Acknowledged: e.acknowledged, Until: e.leaseEnd(now, p.cfg.LeaseMax)}
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -44,21 +44,6 @@
 	kinds map[likeness]*speed
 }
 
-// likeness names the endpoints that are likely to be equally fast.
-type likeness struct {
-	dataCentre ident.DataCentre
-	kind       string
-}
-
-// kindOf returns what is known of endpoints like e.
-func (p *Pool) kindOf(e *endpoint) *speed {
-	k := likeness{dataCentre: e.DataCentre, kind: e.Kind}
-	if p.kinds[k] == nil {
-		p.kinds[k] = &speed{ratio: 1}
-	}
-	return p.kinds[k]
-}
-
 // pending is a call that is not answered yet: a look at an endpoint, or an order
 // about a run.
 type pending struct {
@@ -71,18 +56,6 @@
 // since the call, so that its refusal tells nothing.
 func (c pending) overtaken() bool { return c.fence < c.endpoint.fence }
 
-// Stats counts what the pool did.
-type Stats struct {
-	Starts, Done, Failed, Lost, Refused, Stops, Looks, LooksFailed uint64
-	Fenced, Adopted, Unclaimed, Restarts, StartsRefused            uint64
-	Waiting, Running, Stopping, Endpoints                          int
-	// Of the endpoints, Held obey this owner and Foreign another; the others
-	// have not answered lately. Usable ones may start tasks now. Blocked ones run
-	// something of unknown room, Resting ones failed their tasks, and Missing
-	// ones are not in the list.
-	Held, Foreign, Usable, Blocked, Resting, Missing int
-}
-
 // New returns an inactive pool. It fails when cfg with its defaults is not
 // valid.
 func New(cfg Config) (*Pool, error) {
@@ -131,59 +104,6 @@
 // Epoch returns the highest epoch that the pool has used.
 func (p *Pool) Epoch() uint64 { return p.fence.Epoch() }
 
-// Stats returns the counters and the present sizes.
-func (p *Pool) Stats(now time.Time) Stats {
-	s := p.stats
-	s.Waiting, s.Endpoints = len(p.waiting), len(p.order)
-	count := func(n *int, when bool) {
-		if when {
-			*n++
-		}
-	}
-	for _, e := range p.order {
-		s.Running += len(e.runs)
-		for _, r := range e.runs {
-			count(&s.Stopping, r.phase == stopping)
-		}
-		count(&s.Usable, e.usable(now, p.cfg.MissingWait))
-		count(&s.Blocked, e.unclaimed > 0)
-		count(&s.Resting, now.Before(e.restUntil))
-		count(&s.Missing, !e.missingFrom.IsZero())
-		switch e.hold {
-		case held:
-			s.Held++
-		case foreign:
-			s.Foreign++
-		}
-	}
-	return s
-}
-
-// Activate makes the pool the owner of the endpoints that mine selects, under
-// the fence, or a higher one than it has used before. What an earlier activation
-// knew is dropped: looks find what runs, the homes place their tasks again, and
-// orders that are still on their way are refused.
-func (p *Pool) Activate(now time.Time, fence Fence, mine func(Endpoint) bool) []Action {
-	p.clear()
-	if fence <= p.fence {
-		fence = p.fence.raised(1)
-	}
-	p.active, p.fence, p.mine = true, fence, mine
-	for _, e := range p.order {
-		e.fence = fence
-	}
-	return p.Tick(now)
-}
-
-// Select changes which endpoints an active pool owns.
-func (p *Pool) Select(mine func(Endpoint) bool) { p.mine = mine }
-
-// Deactivate ends the ownership. Leases run on until another owner renews them.
-func (p *Pool) Deactivate() {
-	p.active = false
-	p.clear()
-}
-
 // Paused keeps the pool from starting tasks until a time, since what it
 // believes may be out of date after a pause of the process. Deadlines draw
 // nearer by the time that the clock did not count.
@@ -194,29 +114,6 @@
 	}
 }
 
-// Saw takes the highest epoch that is known, which later fences exceed.
-func (p *Pool) Saw(epoch uint64) {
-	if epoch > p.fence.Epoch() {
-		p.fence = p.fence.raised(epoch - p.fence.Epoch())
-	}
-}
-
-// Foreign reports whether another owner seems to hold endpoints.
-func (p *Pool) Foreign() bool {
-	return slices.ContainsFunc(p.order, func(e *endpoint) bool { return e.hold == foreign })
-}
-
-// Reclaim takes over the endpoints that another owner held, or may have taken
-// while they were out of reach. That owner now follows this one.
-func (p *Pool) Reclaim(now time.Time) []Action {
-	for _, e := range p.order {
-		if e.hold != held {
-			e.hold, e.owned, e.nextLook = unseen, false, now
-		}
-	}
-	return p.Tick(now)
-}
-
 // SetEndpoints takes the list, which was read at a time. Endpoints without an
 // entry are kept for a while, and while they run something.
 func (p *Pool) SetEndpoints(now, read time.Time, list []Endpoint) []Action {
@@ -296,37 +193,6 @@
 	}
 }
 
-// lookAt renews the lease of an endpoint and asks for its lists.
-func (p *Pool) lookAt(now time.Time, e *endpoint) {
-	wait := p.cfg.LookWait
-	if e.hold == foreign {
-		p.raise(e)
-	}
-	switch {
-	case e.hold != held || e.failures > 0:
-		wait = 0
-	case len(e.runs) == 0:
-		wait = p.cfg.IdleWait
-	case now.Before(e.unsteadyUntil):
-		wait = min(wait, p.cfg.UnsteadyWait+time.Duration(p.unsteady)*p.cfg.UnsteadyStep)
-	}
-	look := Look{Call: p.call(e), Acknowledged: e.acknowledged, Wait: wait}
-	if e.clock > 0 {
-		look.Until = e.leaseEnd(now, p.cfg.LeaseMax)
-	}
-	e.look = look.Number
-	p.calls[look.Number] = pending{endpoint: e, fence: look.Fence}
-	p.stats.Looks++
-	p.out = append(p.out, look)
-}
-
-// raise prepares to take over an endpoint that has seen a higher fence.
-func (p *Pool) raise(e *endpoint) {
-	e.climb = max(1, 2*e.climb)
-	e.fence = max(e.fence, p.fence).raised(e.climb)
-	p.fence = max(p.fence, e.fence)
-}
-
 func (p *Pool) call(e *endpoint) Call {
 	p.number++
 	return Call{Number: p.number, Endpoint: e.ID, Address: e.Address, Fence: e.fence}
--- a/internal/decide/route/table.go
+++ b/internal/decide/route/table.go
@@ -24,33 +24,22 @@
 	Stretch float64
 	// Attempts is the number of failed runs after which a task has failed.
 	Attempts int
-	// Priority orders routes; 0 comes first.
-	Priority int
 	// Advised routes need the advice service for each step.
 	Advised bool
 }
 
-// Limits bounds what callers may send.
-type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	// HeaderTimeout and IdleTimeout bound the wait for a request.
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Table is a configuration in force. It does not change.
 type Table struct {
-	Version  uint64
-	Limits   Limits
-	Services []ident.Service
-	hosts    map[string][]Route // longest prefix first
-	routes   int
+	Version uint64
+	// BodyLimit bounds a caller's body, in bytes; zero means the default.
+	BodyLimit int64
+	hosts     map[string][]Route // longest prefix first
+	routes    int
 }
 
 // NewTable returns the table of a configuration.
-func NewTable(version uint64, routes []Route, services []ident.Service, limits Limits) *Table {
-	t := &Table{Version: version, Limits: limits, Services: services, hosts: map[string][]Route{}, routes: len(routes)}
+func NewTable(version uint64, routes []Route, bodyLimit int64) *Table {
+	t := &Table{Version: version, BodyLimit: bodyLimit, hosts: map[string][]Route{}, routes: len(routes)}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
--- a/internal/process/dispatch/jobs.go
+++ b/internal/process/dispatch/jobs.go
@@ -38,7 +38,7 @@
 	if !ok {
 		return Match{}, fault.New(fault.UnknownService, fault.RanNo).WithField("path")
 	}
-	return Match{Route: r, Rest: rest, BodyLimit: c.table.Limits.BodyBytes, ConfigVersion: c.table.Version}, nil
+	return Match{Route: r, Rest: rest, BodyLimit: c.table.BodyLimit, ConfigVersion: c.table.Version}, nil
 }
 
 // Submit runs a job and returns its answer. It fails when the caller has left
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -68,10 +68,12 @@
 	gauge("hornbeamlift_endpoints", float64(s.Endpoints))
 	gauge("hornbeamlift_endpoints_held", float64(s.Held))
 	gauge("hornbeamlift_endpoints_foreign", float64(s.Foreign))
+	gauge("hornbeamlift_endpoints_usable", float64(s.Usable))
 	for name, n := range map[string]uint64{
 		"starts": s.Starts, "starts_refused": s.StartsRefused, "tasks_done": s.Done, "tasks_failed": s.Failed,
 		"tasks_lost": s.Lost, "tasks_refused": s.Refused, "stops": s.Stops, "looks": s.Looks,
 		"looks_failed": s.LooksFailed, "fenced": s.Fenced, "adopted": s.Adopted, "unclaimed": s.Unclaimed,
+		"restarts": s.Restarts,
 	} {
 		metrics.WriteCounterUint64(w, "hornbeamlift_"+name+"_total", n)
 	}
@@ -102,7 +104,7 @@
 	}
 	p.log.WithFields(logrus.Fields{
 		"job": a.Job, "route": a.Route, "result": a.Result.String(), "open": a.Open.Round(time.Millisecond).String(),
-		"target": a.Target.Round(time.Millisecond).String(), "reason": a.Reason, "deadline": a.Deadline.Round(time.Millisecond).String(), "ends": strings.Join(ends, "; "),
+		"target": a.Target.Round(time.Millisecond).String(), "reason": a.Reason, "config-version": a.ConfigVersion, "deadline": a.Deadline.Round(time.Millisecond).String(), "ends": strings.Join(ends, "; "),
 	}).Info("job answered")
 }
 
