--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -26,8 +26,6 @@
 	// which the answer is in time.
 	Stretch float64
 	Latency time.Duration
-	// Timeout bounds the wait of the caller.
-	Timeout time.Duration
 	// ConfigVersion is the version of the configuration that says so.
 	ConfigVersion uint64
 }
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -76,26 +76,26 @@
 func (p *Pool) choose(t *task, usable []*endpoint) *endpoint {
 	b := t.batch
 	var best *endpoint
-	var bestTime, bestLeft float64
+	var bestRatio, bestLeft float64
 	for _, e := range usable {
 		if !p.allowed(b, e) {
 			continue
 		}
-		time := e.speed.over(p.kindOf(e))
+		ratio := e.speed.over(p.kindOf(e))
 		if p.far(b, e) {
-			time *= p.cfg.FarFactor
+			ratio *= p.cfg.FarFactor
 		}
 		left := float64(e.free().CPU - b.needs.Room.CPU)
-		if best == nil || time < bestTime*(1-likeTimes) || (time < bestTime*(1+likeTimes) && left < bestLeft) {
-			best, bestTime, bestLeft = e, time, left
+		if best == nil || ratio < bestRatio*(1-likeRatio) || (ratio < bestRatio*(1+likeRatio) && left < bestLeft) {
+			best, bestRatio, bestLeft = e, ratio, left
 		}
 	}
 	return best
 }
 
-// likeTimes is the difference in speed, as a fraction, below which the room
+// likeRatio is the difference in speed, as a fraction, below which the room
 // decides.
-const likeTimes = 0.08
+const likeRatio = 0.08
 
 // allowed reports whether the endpoint may run another task of the batch.
 func (p *Pool) allowed(b *batch, e *endpoint) bool {
--- a/internal/decide/route/table.go
+++ b/internal/decide/route/table.go
@@ -17,7 +17,7 @@
 	Host    string
 	Prefix  string
 	Service ident.Service
-	// Timeout bounds a caller's wait.
+	// Timeout is the wait of a caller that names none.
 	Timeout time.Duration
 	// Latency and Stretch set the time within which an answer is in time.
 	Latency time.Duration
--- a/internal/process/dispatch/jobs.go
+++ b/internal/process/dispatch/jobs.go
@@ -48,7 +48,7 @@
 	reply := make(chan home.Answer, 1)
 	terms := home.Terms{
 		Route: m.Route.Name, Service: m.Route.Service, Attempts: m.Route.Attempts, Stretch: m.Route.Stretch,
-		Latency: m.Route.Latency, Timeout: m.Route.Timeout, ConfigVersion: m.ConfigVersion,
+		Latency: m.Route.Latency, ConfigVersion: m.ConfigVersion,
 	}
 	var request home.Request
 	p.post(func(now time.Time) {
