Ask for units when a peer's tasks wait for slots here

Cause: in the demo the fastest of four endpoints started none of 200 tasks (0, 144, 0, 56). The peer that owns it stole nothing, since it lacked units of the team's limit, and it asked for none, since nothing of its own waited; after the first empty answer it did not steal again for a second. Change: limits that keep an instance from a peer's tasks count as short; its demand includes them; a larger grant allows the next steal.

--- a/internal/decide/instance/dispatch.go
+++ b/internal/decide/instance/dispatch.go
@@ -6,6 +6,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/work"
+	"hornbeamlift.example/hornbeamlift/internal/decide/quota"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
@@ -196,6 +197,7 @@
 		return
 	}
 	lacking, ok := c.lacking(now, sv)
+	c.wantUnits(now, sv, most.load.Queued, lacking, ok)
 	if !ok {
 		return
 	}
@@ -207,6 +209,33 @@
 		Steal: &peerpb.Steal{Service: string(sv.name), Count: uint32(n), LackingLimits: lacking}}}})
 }
 
+// wantUnits lets units be asked for soon, of limits that keep this instance from
+// a peer's waiting tasks.
+func (c *Core) wantUnits(now time.Time, sv *service, queued int, lacking []string, service bool) {
+	sv.wanted = 0
+	if !service {
+		lacking = append(lacking, string(quota.ServiceLimit(sv.name)))
+	}
+	if len(lacking) == 0 {
+		return
+	}
+	sv.wanted = queued
+	for _, name := range lacking {
+		c.limits.short[quota.LimitName(name)] = now
+	}
+}
+
+// peerQueued returns the longest queue of a peer of the data centre.
+func (s *service) peerQueued() int {
+	n := 0
+	for _, ps := range s.peers {
+		if ps.near {
+			n = max(n, ps.load.Queued)
+		}
+	}
+	return n
+}
+
 // longestQueue returns the peer of the data centre with the most waiting tasks
 // that has no steal to answer, or nil.
 func (s *service) longestQueue(now time.Time) (from ident.Process, most *peerService) {
--- a/internal/decide/instance/limits.go
+++ b/internal/decide/instance/limits.go
@@ -28,6 +28,8 @@
 	byName  map[quota.LimitName]quota.Limit
 	// short holds when a task last found no unit of a limit.
 	short map[quota.LimitName]time.Time
+	// came holds the units of each limit that were granted last.
+	came map[quota.LimitName]quota.Count
 	// granting is true when this instance is the granter of its data centre.
 	granting bool
 	// renewing is true while the record is being read or written. The next
@@ -63,6 +65,7 @@
 		granter: quota.NewGranter(cfg.Self, cfg.DataCentre),
 		byName:  map[quota.LimitName]quota.Limit{},
 		short:   map[quota.LimitName]time.Time{},
+		came:    map[quota.LimitName]quota.Count{},
 	}
 }
 
--- a/internal/decide/instance/limits_test.go
+++ b/internal/decide/instance/limits_test.go
@@ -354,3 +354,15 @@
 		is.Equal(s.refused != nil && s.refused.Kind == fault.Unplaceable, !placeable)
 	}
 }
+
+// TestPeerWithoutUnits guards against a peer whose slots stay free while a job
+// waits elsewhere, since nothing of its own made it ask for units.
+func TestPeerWithoutUnits(t *testing.T) {
+	is := is.New(t)
+	f := newLimited(t, 1, 2, 96, 0)
+	s := f.newSubmission(f.nodes[0], sheetPress, "shop", 300, time.Minute)
+	f.submit(f.nodes[0], s)
+	f.run(40 * time.Second)
+	is.True(s.answer != nil && s.answer.State == work.Complete)
+	is.True(f.nodes[1].core.Counters().Starts > 0)
+}
--- a/internal/decide/instance/peer.go
+++ b/internal/decide/instance/peer.go
@@ -226,12 +226,12 @@
 		return
 	}
 	if empty {
-		ps.load.Queued = 0
 		if ps.lacked {
 			// What waits there may need units that this instance lacks, so the
-			// next steal comes only after stealTimeout.
+			// next steal comes only after stealTimeout, or when units came.
 			return
 		}
+		ps.load.Queued = 0
 	}
 	ps.stealing = time.Time{}
 }
--- a/internal/decide/instance/service.go
+++ b/internal/decide/instance/service.go
@@ -28,6 +28,8 @@
 	owned map[ident.EndpointID]work.Instance
 	// told is the queue length that peers of the data centre last learned.
 	told int
+	// wanted counts a peer's waiting tasks that only lacking units keep away.
+	wanted int
 	// blocked counts the waiting tasks that lack units, and short names the
 	// limits, as last looked up.
 	blocked int
--- a/internal/decide/instance/shares.go
+++ b/internal/decide/instance/shares.go
@@ -1,10 +1,12 @@
 package instance
 
 import (
+	"slices"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/config"
 	"hornbeamlift.example/hornbeamlift/internal/decide/quota"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
@@ -67,20 +69,28 @@
 	}
 }
 
-// waitingUnits counts, for each limit, the waiting tasks that could start here
-// if they had units. For limits on cost it is what these and the running tasks
-// would cost if their slots stayed busy for costAhead.
+// waitingUnits counts, for each limit, the tasks that wait here, or at a peer of
+// the data centre, and could start here if there were units. For limits on cost
+// it is what these and the running tasks would cost if their slots stayed busy
+// for costAhead.
 func (c *Core) waitingUnits(now time.Time) map[quota.LimitName]quota.Count {
 	waiting := map[quota.LimitName]quota.Count{}
 	snap := c.holder.InForce()
 	for _, sv := range c.services {
 		free := sv.pool.Free(now)
-		if free == 0 || sv.queue.Len() == 0 {
+		peer := 0
+		if sv.queue.Len() == 0 {
+			peer = min(sv.wanted, sv.peerQueued())
+		}
+		if free == 0 || sv.queue.Len()+peer == 0 {
 			continue
 		}
-		waiting[quota.ServiceLimit(sv.name)] += quota.Count(min(free, sv.queue.Len()))
+		waiting[quota.ServiceLimit(sv.name)] += quota.Count(min(free, sv.queue.Len()+peer))
 		for _, team := range snap.Teams() {
-			n := quota.Count(min(free, sv.queue.Waiting(team)))
+			if peer > 0 && !mayUse(snap, team, sv.name) {
+				continue
+			}
+			n := quota.Count(min(free, sv.queue.Waiting(team)+peer))
 			waiting[quota.TeamLimit(team)] += n
 			waiting[quota.CostLimit(team)] += n * quota.Count(costOf(sv, max(costAhead, sv.pool.Estimate(0))))
 		}
@@ -91,6 +101,12 @@
 	return waiting
 }
 
+// mayUse reports whether a team may use a service.
+func mayUse(snap *config.Snapshot, team ident.Team, service ident.Service) bool {
+	t, ok := snap.Team(team)
+	return ok && (len(t.Services) == 0 || slices.Contains(t.Services, service))
+}
+
 // shareRequested answers a peer of the data centre. An instance that is not
 // the granter has nothing to lend and does not answer.
 func (c *Core) shareRequested(now time.Time, p ident.Process, m *peerpb.ShareRequest) {
@@ -115,11 +131,28 @@
 		}}}})
 }
 
+// unitsCame lets steals be tried again that named a limit as lacking.
+func (c *Core) unitsCame(limit quota.LimitName, units quota.Count) {
+	if units <= c.limits.came[limit] {
+		c.limits.came[limit] = units
+		return
+	}
+	c.limits.came[limit] = units
+	for _, sv := range c.services {
+		for _, ps := range sv.peers {
+			if ps.lacked {
+				ps.stealing, ps.lacked = time.Time{}, false
+			}
+		}
+	}
+}
+
 // shareGranted takes the granter's answer.
 func (c *Core) shareGranted(now time.Time, p ident.Process, m *peerpb.ShareGrant) {
 	if c.links[p].dataCentre != c.cfg.DataCentre || m.Units > 1<<62 {
 		return
 	}
+	c.unitsCame(quota.LimitName(m.Limit), quota.Count(m.Units))
 	c.limits.book.Accept(now, quota.ShareGrant{
 		Number: m.Request,
 		Limit:  quota.LimitName(m.Limit),
