Start waiting tasks only on endpoints that have changed

Each answer and each look tried all waiting tasks on all 350 endpoints, and each look tended all of them.

--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -1,18 +1,58 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
 )
 
-// dispatch starts waiting tasks on endpoints with room. Tasks that can still be
-// in time come first, those that must start soonest before the others; tasks
-// that are late already follow.
+// dispatch starts waiting tasks on any endpoints with room.
 func (p *Pool) dispatch(now time.Time) {
-	if !p.active || len(p.waiting) == 0 || now.Before(p.restUntil) {
+	if p.mayStart(now) {
+		p.startWaiting(now, p.usable(now))
+	}
+}
+
+// dispatchOn starts waiting tasks on an endpoint that has changed. The others
+// have no room for what waits, which was seen when they changed.
+func (p *Pool) dispatchOn(now time.Time, e *endpoint) {
+	if p.mayStart(now) && p.open(now, e) {
+		p.startWaiting(now, []*endpoint{e})
+	}
+}
+
+// dispatchNew starts tasks that were just enqueued.
+func (p *Pool) dispatchNew(now time.Time, batches []*batch) {
+	if !p.mayStart(now) {
 		return
 	}
 	usable := p.usable(now)
+	if len(usable) == 0 {
+		return
+	}
+	var tasks []*task
+	for _, b := range batches {
+		for _, index := range slices.Sorted(maps.Keys(b.tasks)) {
+			if t := b.tasks[index]; t.queued {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	slices.SortStableFunc(tasks, func(a, b *task) int { return a.batch.startBy().Compare(b.batch.startBy()) })
+	p.startChosen(now, p.startRange(now, tasks, &usable))
+}
+
+// mayStart reports whether tasks wait and may start.
+func (p *Pool) mayStart(now time.Time) bool {
+	return p.active && len(p.waiting) > 0 && !now.Before(p.restUntil)
+}
+
+// startWaiting starts waiting tasks on endpoints. Tasks that can still be in
+// time come first, those that must start soonest before the others; tasks that
+// are late already follow.
+func (p *Pool) startWaiting(now time.Time, usable []*endpoint) {
 	if len(usable) == 0 {
 		return
 	}
@@ -24,6 +64,11 @@
 	})
 	chosen := p.startRange(now, p.waiting[first:], &usable)
 	chosen = append(chosen, p.startRange(now, p.waiting[:first], &usable)...)
+	p.startChosen(now, chosen)
+}
+
+// startChosen starts tasks whose room is taken.
+func (p *Pool) startChosen(now time.Time, chosen []*task) {
 	if len(chosen) == 0 {
 		return
 	}
@@ -33,28 +78,43 @@
 	}
 }
 
+// open reports whether the endpoint may start tasks and has processors free.
+func (p *Pool) open(now time.Time, e *endpoint) bool {
+	return e.usable(now, p.cfg.MissingWait) && e.free().CPU > 0 && p.mine(e.Endpoint)
+}
+
 // usable returns the endpoints that may start tasks and have processors free.
 func (p *Pool) usable(now time.Time) []*endpoint {
 	var list []*endpoint
 	for _, e := range p.order {
-		if e.usable(now, p.cfg.MissingWait) && e.free().CPU > 0 && p.mine(e.Endpoint) {
+		if p.open(now, e) {
 			list = append(list, e)
 		}
 	}
 	return list
 }
 
+// most returns the most that is free of each resource on any of the endpoints.
+func most(usable []*endpoint) job.Room {
+	var m job.Room
+	for _, e := range usable {
+		free := e.free()
+		m.CPU, m.Memory, m.GPU = max(m.CPU, free.CPU), max(m.Memory, free.Memory), max(m.GPU, free.GPU)
+	}
+	return m
+}
+
 // startRange chooses endpoints for tasks in order and occupies their room.
 func (p *Pool) startRange(now time.Time, tasks []*task, usable *[]*endpoint) []*task {
 	var chosen []*task
 	var failed *batch
-	seen := p.seenSince()
+	seen, free := p.seenSince(), most(*usable)
 	for _, t := range tasks {
 		if len(*usable) == 0 {
 			break
 		}
 		// Tasks of a batch have the same needs.
-		if t.batch == failed || !p.certain(now, seen, t) || len(p.present[t.key]) > 0 {
+		if t.batch == failed || !t.batch.needs.Room.Fits(free) || !p.certain(now, seen, t) || len(p.present[t.key]) > 0 {
 			continue
 		}
 		e := p.choose(t, *usable)
@@ -67,6 +127,7 @@
 		if e.free().CPU <= 0 || e.health.trial {
 			*usable = slices.DeleteFunc(*usable, func(o *endpoint) bool { return o == e })
 		}
+		free = most(*usable)
 	}
 	return chosen
 }
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -63,7 +63,9 @@
 	// restUntil is when the endpoint may start tasks again.
 	restUntil time.Time
 	speed     speed
-	health    health
+	// like is what is known of like endpoints, once it was asked for.
+	like   *speed
+	health health
 }
 
 // find returns a run on the endpoint, or nil.
@@ -168,11 +170,14 @@
 
 // kindOf returns what is known of endpoints like e.
 func (p *Pool) kindOf(e *endpoint) *speed {
-	k := likeness{dataCentre: e.DataCentre, kind: e.Kind}
-	if p.kinds[k] == nil {
-		p.kinds[k] = &speed{ratio: 1}
+	if e.like == nil {
+		k := likeness{dataCentre: e.DataCentre, kind: e.Kind}
+		if p.kinds[k] == nil {
+			p.kinds[k] = &speed{ratio: 1}
+		}
+		e.like = p.kinds[k]
 	}
-	return p.kinds[k]
+	return e.like
 }
 
 // health counts failures in a row and the rests that they caused.
--- a/internal/decide/owner/look.go
+++ b/internal/decide/owner/look.go
@@ -62,7 +62,11 @@
 			e.nextLook = now.Add(p.cfg.LookRetry << min(e.failures-2, 5))
 		}
 	}
-	return p.Tick(now)
+	if p.active {
+		p.tend(now, e)
+		p.dispatchOn(now, e)
+	}
+	return p.flush()
 }
 
 // accept takes the lists of an endpoint.
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -15,22 +15,27 @@
 // are, and runs that it found on endpoints are adopted.
 func (p *Pool) Place(now time.Time, home ident.Process, orders []job.Order) []Action {
 	handed := false
+	var placed []*batch
 	for i := range orders {
-		p.place(now, home, &orders[i])
+		if b := p.place(now, home, &orders[i]); b != nil {
+			placed = append(placed, b)
+		}
 		handed = handed || orders[i].Handed
 	}
 	if handed && p.active {
 		p.glanceAll(now)
 	}
-	p.dispatch(now)
+	p.dispatchNew(now, placed)
 	return p.flush()
 }
 
-func (p *Pool) place(now time.Time, home ident.Process, o *job.Order) {
+// place takes one order and returns its batch, or nil when the pool is not the
+// owner.
+func (p *Pool) place(now time.Time, home ident.Process, o *job.Order) *batch {
 	id := batchID{home: home, job: o.Job, step: o.Step}
 	if !p.active {
 		p.handBack(home, o)
-		return
+		return nil
 	}
 	b := p.batches[id]
 	if b == nil {
@@ -51,6 +56,7 @@
 			t.handed, t.nextRun = now, max(t.nextRun, o.FirstRuns[i])
 		}
 	}
+	return b
 }
 
 // handBack returns tasks that another owner should get.
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -132,6 +132,9 @@
 		if e.Address != entry.Address {
 			e.failures, e.nextLook = 0, time.Time{}
 		}
+		if e.Kind != entry.Kind || e.DataCentre != entry.DataCentre {
+			e.like = nil
+		}
 		e.Endpoint = entry
 		e.missingFrom = time.Time{}
 	}
--- a/internal/decide/owner/start.go
+++ b/internal/decide/owner/start.go
@@ -22,7 +22,9 @@
 	} else {
 		p.startAnswered(now, r, a, c.overtaken())
 	}
-	p.dispatch(now)
+	if a.Reply != OK {
+		p.dispatch(now)
+	}
 	return p.flush()
 }
 
