Let strong instances own the endpoints before weak ones

Any instance could become the owner. Ruled out: groups of endpoints with an owner each, as long as one strong instance carries the load; it would cost the shared view. Change: pulses name the processors; an instance below 75% of the strongest one leads only when no stronger one can. Instances alike are ranked as before. Measured: TestWeakInstance fails without the rule (strongShare = 0) and passes.

--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -24,6 +24,9 @@
 type Config struct {
 	Self       ident.Process
 	DataCentre ident.DataCentre
+	// Processors is what this instance has, in thousandths of a core; zero means
+	// that it is not known.
+	Processors int64
 	// Pulse is the interval of pulses between the leader, its successor and the
 	// others. Slow is the interval between all others.
 	Pulse time.Duration
@@ -79,6 +82,8 @@
 // Pulse is what an instance says of itself.
 type Pulse struct {
 	Seniority Seniority
+	// Processors is what the instance has, in thousandths of a core.
+	Processors int64
 	// Epoch is the highest epoch that the instance knows.
 	Epoch    uint64
 	Draining bool
@@ -140,7 +145,7 @@
 
 // Own returns what this instance says of itself.
 func (v *View) Own() Pulse {
-	return Pulse{Seniority: v.seniority, Epoch: v.epoch, Draining: v.draining, Owner: v.owner}
+	return Pulse{Seniority: v.seniority, Processors: v.cfg.Processors, Epoch: v.epoch, Draining: v.draining, Owner: v.owner}
 }
 
 // Epoch returns the highest epoch that is known.
@@ -318,33 +323,54 @@
 	return v.cfg.Slow
 }
 
-// rank returns the most senior instance that may lead, and its successor. When
-// all are draining, the most senior of them leads.
-func (v *View) rank() (first, second ident.Process) {
-	type row struct {
-		process ident.Process
-		pulse   Pulse
+// strongShare is the part of the strongest instance's processors, in percent,
+// below which an instance leads only when no stronger one can: the owner's load
+// grows with the fleet, while instances differ several times in size.
+const strongShare = 75
+
+// candidate is an instance that may lead.
+type candidate struct {
+	process ident.Process
+	pulse   Pulse
+	weak    bool
+}
+
+// before reports whether c leads rather than o.
+func (c *candidate) before(o *candidate) bool {
+	switch {
+	case c.pulse.Draining != o.pulse.Draining:
+		return !c.pulse.Draining
+	case c.weak != o.weak:
+		return !c.weak
+	case c.pulse.Seniority != o.pulse.Seniority:
+		return c.pulse.Seniority < o.pulse.Seniority
 	}
-	rows := []row{{v.cfg.Self, v.Own()}}
+	return c.process.Instance < o.process.Instance
+}
+
+// rank returns the most senior of the strong instances that may lead, and its
+// successor. When all are draining, one of them leads.
+func (v *View) rank() (first, second ident.Process) {
+	rows := []candidate{{process: v.cfg.Self, pulse: v.Own()}}
 	for _, p := range v.peers {
 		if p.linked && p.pulsed {
-			rows = append(rows, row{p.process, p.pulse})
+			rows = append(rows, candidate{process: p.process, pulse: p.pulse})
 		}
 	}
-	slices.SortFunc(rows, func(a, b row) int {
-		switch {
-		case a.pulse.Draining != b.pulse.Draining:
-			if a.pulse.Draining {
-				return 1
-			}
+	var strongest int64
+	for _, r := range rows {
+		if !r.pulse.Draining {
+			strongest = max(strongest, r.pulse.Processors)
+		}
+	}
+	for i := range rows {
+		rows[i].weak = rows[i].pulse.Processors*100 < strongest*strongShare
+	}
+	slices.SortFunc(rows, func(a, b candidate) int {
+		if a.before(&b) {
 			return -1
-		case a.pulse.Seniority != b.pulse.Seniority:
-			if a.pulse.Seniority < b.pulse.Seniority {
-				return -1
-			}
-			return 1
 		}
-		return strings.Compare(string(a.process.Instance), string(b.process.Instance))
+		return 1
 	})
 	if len(rows) > 1 {
 		second = rows[1].process
--- a/internal/decide/leader/view_test.go
+++ b/internal/decide/leader/view_test.go
@@ -218,3 +218,47 @@
 		})
 	}
 }
+
+// TestWeakInstance guards against an owner on an instance that cannot carry the
+// load while a stronger one could.
+func TestWeakInstance(t *testing.T) {
+	tests := map[string]struct {
+		processors [3]int64
+		draining   int // index, or -1
+		owner      int
+	}{
+		"alike: the most senior":       {[3]int64{400, 400, 400}, -1, 0},
+		"the most senior is weak":      {[3]int64{144, 800, 480}, -1, 1},
+		"the strong one is draining":   {[3]int64{144, 800, 480}, 1, 2},
+		"nearly as strong":             {[3]int64{700, 800, 480}, -1, 0},
+		"nothing known of processors":  {[3]int64{0, 0, 0}, -1, 0},
+		"unknown next to a known one":  {[3]int64{0, 400, 0}, -1, 1},
+		"all others weaker and senior": {[3]int64{144, 144, 800}, -1, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for self := range 3 {
+				v, err := leader.New(epoch, leader.Config{
+					Self: process(self), DataCentre: "a", Processors: tt.processors[self],
+				}, leader.Seniority(100+self))
+				is.NoErr(err)
+				if self == tt.draining {
+					v.Drain()
+				}
+				now := epoch.Add(time.Second)
+				for i := range 3 {
+					if i != self {
+						v.Up(now, process(i), "a")
+						v.Heard(now, process(i), leader.Pulse{
+							Seniority: leader.Seniority(100 + i), Processors: tt.processors[i], Draining: i == tt.draining,
+						})
+					}
+				}
+				v.Tick(now)
+				lead, _ := v.Owner()
+				is.Equal(lead, process(tt.owner))
+			}
+		})
+	}
+}
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -20,6 +20,7 @@
 			Seniority: int64(m.Seniority), Epoch: m.Epoch, Draining: m.Draining,
 			ListAgeMs: uint32(min(m.ListAge.Milliseconds(), math.MaxUint32)),
 			Owner:     string(m.Owner.Instance), OwnerIncarnation: uint64(m.Owner.Incarnation),
+			Processors: uint32(min(max(m.Processors, 0), math.MaxUint32)),
 		}}}
 	case dispatcher.Orders:
 		return placeMessage(m)
@@ -41,6 +42,7 @@
 		return dispatcher.Pulse{
 			Pulse: leader.Pulse{
 				Seniority: leader.Seniority(body.Pulse.GetSeniority()), Epoch: body.Pulse.GetEpoch(), Draining: body.Pulse.GetDraining(),
+				Processors: int64(body.Pulse.GetProcessors()),
 				Owner: ident.Process{
 					Instance: ident.InstanceID(body.Pulse.GetOwner()), Incarnation: ident.Incarnation(body.Pulse.GetOwnerIncarnation()),
 				},
