Pace the looks of a takeover

Ruled out: the endpoints' answers (the same owner holds all 350 in calm). Change: at most 64 looks at once at endpoints that are not held; one round of looks for handed tasks in 100 ms. Measured: TestTakeoverLooks fails without either bound and passes.

--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -37,6 +37,13 @@
 	YieldWait time.Duration
 	// LookRetry is the pause after looks that failed in a row.
 	LookRetry time.Duration
+	// MaxProbes bounds the looks that are under way at endpoints that this owner
+	// does not hold. A takeover of many endpoints would else take more processor
+	// time than the time limits of its calls allow.
+	MaxProbes int
+	// GlanceWait is the least time between two rounds of looks at all endpoints
+	// on behalf of tasks of another owner.
+	GlanceWait time.Duration
 	// StopRetry is the pause after a stop that failed.
 	StopRetry time.Duration
 	// AdoptWait is how long a new owner waits for the homes of runs that it
@@ -82,6 +89,7 @@
 	set(&c.UnsteadyTime, 5*time.Second)
 	set(&c.YieldWait, 650*time.Millisecond)
 	set(&c.LookRetry, 50*time.Millisecond)
+	set(&c.GlanceWait, 100*time.Millisecond)
 	set(&c.StopRetry, 50*time.Millisecond)
 	set(&c.AdoptWait, 300*time.Millisecond)
 	set(&c.OrphanWait, 1700*time.Millisecond)
@@ -97,6 +105,9 @@
 	if c.FarFactor == 0 {
 		c.FarFactor = 2
 	}
+	if c.MaxProbes == 0 {
+		c.MaxProbes = 64
+	}
 	if c.MaxWaiting == 0 {
 		c.MaxWaiting = 20_000
 	}
@@ -118,6 +129,8 @@
 		return invalid("clock-error", "must be 0 to 0.5")
 	case c.FarFactor < 1:
 		return invalid("far-factor", "must be at least 1")
+	case c.MaxProbes < 1:
+		return invalid("max-probes", "must be at least 1")
 	case c.MaxWaiting < 1:
 		return invalid("max-waiting", "must be at least 1")
 	}
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -49,7 +49,9 @@
 	// unclaimed counts the runs whose room is unknown.
 	unclaimed int
 	// look is the number of the look in flight, or zero.
-	look     uint64
+	look uint64
+	// probe is set while that look counts among the pool's probes.
+	probe    bool
 	nextLook time.Time
 	failures int
 	// owned is set once the endpoint has obeyed the present fence.
--- a/internal/decide/owner/look.go
+++ b/internal/decide/owner/look.go
@@ -26,6 +26,10 @@
 		look.Until = e.leaseEnd(now, p.cfg.LeaseMax)
 	}
 	e.look = look.Number
+	if e.hold != held {
+		e.probe = true
+		p.probes++
+	}
 	p.calls[look.Number] = pending{endpoint: e, fence: look.Fence}
 	p.stats.Looks++
 	p.out = append(p.out, look)
@@ -41,6 +45,10 @@
 	e := c.endpoint
 	if e.look == l.Call {
 		e.look = 0
+		if e.probe {
+			e.probe = false
+			p.probes--
+		}
 	}
 	switch l.Reply {
 	case OK:
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -23,6 +23,7 @@
 		handed = handed || orders[i].Handed
 	}
 	if handed && p.active {
+		p.glanceDue = true
 		p.glanceAll(now)
 	}
 	p.dispatchNew(now, placed)
@@ -139,8 +140,12 @@
 }
 
 // glanceAll looks at all endpoints at once, so that tasks of another owner can
-// start soon.
+// start soon. Tasks that come shortly after others wait for the next round.
 func (p *Pool) glanceAll(now time.Time) {
+	if !p.glanceDue || now.Sub(p.glancedAt) < p.cfg.GlanceWait {
+		return
+	}
+	p.glancedAt, p.glanceDue = now, false
 	for _, e := range p.order {
 		if e.hold == held && p.mine(e.Endpoint) {
 			p.glance(now, e)
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -37,9 +37,15 @@
 	number    uint64
 	// unsteady counts the endpoints that lately failed to answer a look.
 	unsteady int
-	ends     map[ident.Process][]job.End
-	out      []Action
-	stats    Stats
+	// probes counts the looks under way at endpoints that are not held.
+	probes int
+	// glancedAt is when all endpoints were last looked at for tasks of another
+	// owner, and glanceDue is set when some have come since.
+	glancedAt time.Time
+	glanceDue bool
+	ends      map[ident.Process][]job.End
+	out       []Action
+	stats     Stats
 	// kinds learns the ratio of run time to estimate over like endpoints.
 	kinds map[likeness]*speed
 }
@@ -77,6 +83,7 @@
 	p.calls = map[uint64]pending{}
 	p.ends = map[ident.Process][]job.End{}
 	p.kinds = map[likeness]*speed{}
+	p.probes, p.glancedAt, p.glanceDue = 0, time.Time{}, false
 	for _, e := range p.endpoints {
 		e.forget()
 	}
@@ -158,6 +165,7 @@
 // Tick does what is due: looks, stops, refusals and starts.
 func (p *Pool) Tick(now time.Time) []Action {
 	if p.active {
+		p.glanceAll(now)
 		p.unsteady = 0
 		for _, e := range p.order {
 			if now.Before(e.unsteadyUntil) {
@@ -179,7 +187,7 @@
 	case !wanted && e.hold == held:
 		// Another owner may take it over unnoticed.
 		e.hold, e.owned = unseen, false
-	case wanted && e.look == 0 && !now.Before(e.nextLook):
+	case wanted && e.look == 0 && !now.Before(e.nextLook) && (e.hold == held || p.probes < p.cfg.MaxProbes):
 		p.lookAt(now, e)
 	}
 	if e.failures > 0 && len(e.runs) > 0 && e.lapsed(now, &p.cfg) {
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -1,9 +1,11 @@
 package owner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 )
@@ -233,3 +235,49 @@
 	b.lookAll()
 	b.is.Equal(len(b.starts), 1)
 }
+
+// TestTakeoverLooks guards against a new owner of many endpoints that makes so
+// many calls at once that they run into their time limits.
+func TestTakeoverLooks(t *testing.T) {
+	const endpoints, homes = 350, 35
+	b := newBench(t, endpoints)
+	b.looks = nil
+	b.take(b.pool.Activate(b.now, owner.NewFence(6, 2), func(owner.Endpoint) bool { return true }))
+	most, looks := 0, 0
+	answer := func() {
+		atOnce := 0
+		for _, l := range b.looks {
+			if l.Wait == 0 {
+				atOnce++
+			}
+		}
+		most, looks = max(most, atOnce), looks+atOnce
+		b.lookAll()
+	}
+	for range 20 {
+		b.pass(5 * time.Millisecond)
+		answer()
+	}
+	b.is.Equal(b.pool.Stats(b.now).Held, endpoints) // all were looked at
+	b.is.True(most <= owner.Config{}.Defaults().MaxProbes)
+	most, looks = 0, 0
+	for i := range homes {
+		o := order(fmt.Sprint("j-", i), 1, 10_000)
+		o.Handed = true
+		b.place(ident.Process{Instance: ident.InstanceID(fmt.Sprint("home-", i))}, o)
+		b.pass(time.Millisecond)
+		answer()
+	}
+	b.is.True(looks <= 2*endpoints) // one home after the other brought its tasks
+	for range 10 {
+		b.pass(25 * time.Millisecond)
+		b.list()
+		answer()
+		b.startAll()
+	}
+	done := 0
+	for _, e := range b.endpoints {
+		done += len(e.Running())
+	}
+	b.is.Equal(done+len(b.ends), homes) // all handed tasks were started
+}
