Make calls to endpoints and the store on their callers' goroutines

Change: internal/adapter/httpcall writes and reads a connection on the goroutine of the call, with the requests and replies of net/http but without the two goroutines that http.Transport keeps for each connection; idle connections hold no buffers and are checked before they are used again.

--- /dev/null
+++ b/internal/adapter/httpcall/client.go
@@ -0,0 +1,236 @@
+// Package httpcall makes HTTP/1.1 calls to one address over a few connections
+// that are kept open. The goroutine that makes a call also writes and reads its
+// connection, which takes less processor time and memory than http.Transport
+// with its two goroutines for each connection.
+package httpcall
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/clock"
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+)
+
+const (
+	// idleMost is how long a connection may be unused, and idleUnchecked how long
+	// before it is checked for its end when it is used again.
+	idleMost      = 60 * time.Second
+	idleUnchecked = 300 * time.Millisecond
+	// maxReply bounds the body of a reply, in bytes.
+	maxReply = 8 << 20
+	// bufferSize is that of the buffers for reading and writing, in bytes.
+	bufferSize = 2 << 10
+)
+
+// Config holds the settings of a Client.
+type Config struct {
+	// Address is the host and port to call.
+	Address string
+	// MaxConnections bounds the open connections. Further calls wait.
+	MaxConnections int
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	Clock       clock.Clock
+}
+
+// Call is a request.
+type Call struct {
+	Method string
+	Path   string
+	Query  string
+	// Header holds further headers; the client may change it.
+	Header http.Header
+	// Body is empty when there is none.
+	Body []byte
+}
+
+// Reply is the answer to a call.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+// Client makes calls to one address. It is safe for concurrent use.
+type Client struct {
+	cfg    Config
+	dialer net.Dialer
+	// slots holds a token for each connection that is in use.
+	slots chan struct{}
+
+	mu   sync.Mutex
+	idle []idleConn
+}
+
+// idleConn is a connection that waits for its next call.
+type idleConn struct {
+	conn  net.Conn
+	since time.Time
+}
+
+// New returns a client without connections.
+func New(cfg Config) *Client {
+	return &Client{
+		cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1}, slots: make(chan struct{}, cfg.MaxConnections),
+	}
+}
+
+// Do makes a call that takes at most timeout. Its failure is a *fault.Error of
+// kind fault.EndpointUnreachable; Ran says "no" when nothing was sent.
+func (c *Client) Do(ctx context.Context, timeout time.Duration, call Call) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	case <-ctx.Done():
+		return Reply{}, fault.Wrap(ctx.Err(), fault.EndpointUnreachable, fault.RanNo)
+	}
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return Reply{}, fault.Wrap(err, fault.EndpointUnreachable, fault.RanNo)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(past) })
+	reply, reusable, err := exchange(conn, c.cfg.Address, call)
+	if !stop() || err != nil || !reusable {
+		_ = conn.Close()
+	} else {
+		c.keep(conn)
+	}
+	if err != nil {
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return Reply{}, fault.Wrap(err, fault.EndpointUnreachable, fault.RanUnknown)
+	}
+	return reply, nil
+}
+
+// past is a deadline that ends reads and writes at once.
+var past = time.Unix(1, 0)
+
+// CloseIdle closes the connections that are not in use.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	idle := c.idle
+	c.idle = nil
+	c.mu.Unlock()
+	for _, i := range idle {
+		_ = i.conn.Close()
+	}
+}
+
+// connection returns the connection that was used last, or a new one.
+func (c *Client) connection(ctx context.Context) (net.Conn, error) {
+	for {
+		i, ok := c.take()
+		if !ok {
+			return c.dialer.DialContext(ctx, "tcp", c.cfg.Address)
+		}
+		idle := c.cfg.Clock.Now().Sub(i.since)
+		if idle < idleUnchecked || (idle < idleMost && alive(i.conn)) {
+			return i.conn, nil
+		}
+		_ = i.conn.Close()
+	}
+}
+
+func (c *Client) take() (idleConn, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.idle)
+	if n == 0 {
+		return idleConn{}, false
+	}
+	i := c.idle[n-1]
+	c.idle = c.idle[:n-1]
+	return i, true
+}
+
+func (c *Client) keep(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = append(c.idle, idleConn{conn: conn, since: c.cfg.Clock.Now()})
+}
+
+// Buffers are shared, since most connections are idle most of the time.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
+)
+
+// exchange writes a call and reads its reply. It reports whether the connection
+// can serve another call.
+func exchange(conn net.Conn, host string, call Call) (reply Reply, reusable bool, err error) {
+	req := request(host, call)
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(conn)
+	err = req.Write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	w.Reset(nil)
+	writers.Put(w)
+	if err != nil {
+		return Reply{}, false, err
+	}
+	r := readers.Get().(*bufio.Reader)
+	defer func() {
+		r.Reset(nil)
+		readers.Put(r)
+	}()
+	r.Reset(conn)
+	resp, err := http.ReadResponse(r, req)
+	if err != nil {
+		return Reply{}, false, err
+	}
+	body, err := readAll(resp)
+	if err != nil {
+		return Reply{}, false, err
+	}
+	return Reply{Status: resp.StatusCode, Body: body}, !resp.Close && r.Buffered() == 0, nil
+}
+
+// request returns the call as a request of the standard library.
+func request(host string, call Call) *http.Request {
+	req := &http.Request{
+		Method: call.Method, URL: &url.URL{Scheme: "http", Host: host, Path: call.Path, RawQuery: call.Query},
+		Header: call.Header, Host: host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	// An empty agent is not sent.
+	req.Header["User-Agent"] = noAgent
+	if len(call.Body) > 0 {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(call.Body)), int64(len(call.Body))
+	}
+	return req
+}
+
+var noAgent = []string{""}
+
+// readAll reads a body, which must not be longer than maxReply.
+func readAll(resp *http.Response) ([]byte, error) {
+	defer func() { _ = resp.Body.Close() }()
+	if resp.ContentLength > maxReply {
+		return nil, fault.New(fault.TooLarge, fault.RanUnknown).WithDetail("the reply is too long")
+	}
+	if resp.ContentLength >= 0 {
+		data := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, data)
+		return data, err
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
+	if err == nil && len(data) > maxReply {
+		err = fault.New(fault.TooLarge, fault.RanUnknown).WithDetail("the reply is too long")
+	}
+	return data, err
+}
--- a/internal/decide/owner/event.go
+++ b/internal/decide/owner/event.go
@@ -164,6 +164,8 @@
 	Sent    time.Time
 	Running []Running
 	Ended   []Ended
+	// Cause is what made the call fail, for logs.
+	Cause error
 }
 
 // Answered is the result of a Start or Stop.
@@ -172,4 +174,6 @@
 	Reply Reply
 	// Clock is zero when the reply had none.
 	Clock Moment
+	// Cause is what made the call fail, for logs.
+	Cause error
 }
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -44,7 +44,10 @@
 
 // tick does what is due.
 func (p *Process) tick(now time.Time) {
-	p.count.behind.Update(now.Sub(p.ticked).Seconds())
+	if !p.ticked.IsZero() {
+		p.count.behind.Update(now.Sub(p.ticked).Seconds())
+		p.load.behind = max(p.load.behind, now.Sub(p.ticked))
+	}
 	p.ticked = now
 	p.act(now, p.core.Tick(now))
 	p.owned.Store(p.core.Owned())
@@ -114,6 +117,7 @@
 
 func (p *Process) runLook(l owner.Look) {
 	result := p.ports.Endpoints.Look(p.ctx, l)
+	p.logLook(l, result)
 	p.post(func(now time.Time) { p.act(now, p.core.Looked(now, &result)) })
 }
 
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -49,6 +49,7 @@
 	ticked time.Time
 	// told is when the last line about the owner's state was written.
 	told time.Time
+	load load
 	// noticed and booted are the newest times that loop has seen.
 	noticed time.Time
 	booted  time.Duration
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"time"
@@ -82,14 +83,25 @@
 	}
 }
 
-// logState writes what the owner believes of its endpoints and tasks.
+// load is what a process did since the last line about the owner's state.
+type load struct {
+	looks uint64
+	// behind is the longest time between two ticks.
+	behind time.Duration
+}
+
+// logState writes what the owner believes of its endpoints and tasks, and what
+// it cost since the last such line.
 func (p *Process) logState(now time.Time) {
 	s, age := p.core.Stats(now)
+	defer func() { p.load = load{looks: s.Looks} }()
 	p.log.WithFields(logrus.Fields{
 		"endpoints": s.Endpoints, "usable": s.Usable, "held": s.Held, "foreign": s.Foreign, "blocked": s.Blocked,
 		"resting": s.Resting, "missing": s.Missing, "waiting": s.Waiting, "running": s.Running, "stopping": s.Stopping,
 		"starts": s.Starts, "lost": s.Lost, "fenced": s.Fenced, "looks-failed": s.LooksFailed,
 		"list-age": age.Round(time.Millisecond).String(), "epoch": p.core.Epoch(),
+		"looks":  s.Looks - p.load.looks,
+		"behind": p.load.behind.Round(time.Millisecond).String(), "goroutines": runtime.NumGoroutine(), "posts": len(p.posts),
 	}).Info("state of the owner")
 }
 
@@ -108,6 +120,17 @@
 	}).Info("job answered")
 }
 
+// logLook writes a line for a look that an endpoint did not answer.
+func (p *Process) logLook(l owner.Look, r owner.Looked) {
+	if r.Reply == owner.OK || r.Reply == owner.Fenced {
+		return
+	}
+	p.log.WithFields(logrus.Fields{
+		"endpoint": l.Endpoint, "reply": r.Reply.String(), "wait": l.Wait.String(),
+		"took": p.set.Clock.Now().Sub(r.Sent).Round(time.Millisecond).String(), "fence": l.Fence,
+	}).WithError(r.Cause).Info("look unanswered")
+}
+
 // logStart writes a line for a start that an endpoint did not take, and at the
 // level of debug for all others.
 func (p *Process) logStart(s owner.Start, a owner.Answered) {
@@ -122,5 +145,5 @@
 	p.log.WithFields(logrus.Fields{
 		"task": s.Key.String(), "run": s.Run, "endpoint": s.Endpoint, "reply": a.Reply.String(), "until": s.Until, "fence": s.Fence,
 		"clock": a.Clock,
-	}).Info("start refused or unanswered")
+	}).WithError(a.Cause).Info("start refused or unanswered")
 }
