Ask for units again at short, growing intervals

Cause: a limit that begins to keep tasks waiting was asked about at once and then each 500 ms, while the granter needs about 100 ms to write the record: an instance whose first request came before that write started its first tasks half a second later, and in the demo, whose job takes about a second, its endpoint had none. Change: requests while tasks lack units follow each other after 50, 100, 200, 400 and 500 ms, at the home as well as at its peers; the granter considers an early write each 50 ms.

--- a/internal/decide/instance/dispatch.go
+++ b/internal/decide/instance/dispatch.go
@@ -221,7 +221,7 @@
 	}
 	sv.wanted = queued
 	for _, name := range lacking {
-		c.limits.short[quota.LimitName(name)] = now
+		c.lackUnits(now, quota.LimitName(name))
 	}
 }
 
--- a/internal/decide/instance/limits.go
+++ b/internal/decide/instance/limits.go
@@ -40,6 +40,8 @@
 	// earlyAt is when a write before its time may be considered next.
 	earlyAt           time.Time
 	nextAsk, nextBack time.Time
+	// askPause is the least time between two requests while tasks lack units.
+	askPause time.Duration
 	// rival is an unlinked process that the record named as the granter when
 	// it was last read, at its write rivalAttempt.
 	rival        ident.Process
@@ -145,7 +147,7 @@
 	if h.units, h.deadline, ok = book.TakeWithin(now, least, t.Deadline, service, team); !ok {
 		for _, name := range []quota.LimitName{service, team} {
 			if !book.Has(now, least, name, 1) {
-				c.limits.short[name] = now
+				c.lackUnits(now, name)
 			}
 		}
 		c.count.LimitWaits++
@@ -153,7 +155,7 @@
 	}
 	if h.cost, ok = book.Reserve(now, cost, costOf(sv, estimate)); !ok {
 		book.Release(now, h.units)
-		c.limits.short[cost] = now
+		c.lackUnits(now, cost)
 		c.count.LimitWaits++
 		return held{}, false
 	}
--- a/internal/decide/instance/limits_test.go
+++ b/internal/decide/instance/limits_test.go
@@ -366,3 +366,20 @@
 	is.True(s.answer != nil && s.answer.State == work.Complete)
 	is.True(f.nodes[1].core.Counters().Starts > 0)
 }
+
+// TestPeerHelpsSoon guards against a peer that gets units only at the granter's
+// next write, ten seconds later, because its request came just after an early
+// write. Whether it does depends on when the job comes. The demo's job takes about
+// a second.
+func TestPeerHelpsSoon(t *testing.T) {
+	for after := time.Duration(0); after < 2*time.Second; after += 50 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			is := is.New(t)
+			f := newLimited(t, 1, 2, 96, 0)
+			f.run(after)
+			f.submit(f.nodes[0], f.newSubmission(f.nodes[0], sheetPress, "shop", 300, time.Minute))
+			f.run(time.Second)
+			is.True(f.nodes[1].core.Counters().Starts > 0)
+		})
+	}
+}
--- a/internal/decide/instance/shares.go
+++ b/internal/decide/instance/shares.go
@@ -13,9 +13,11 @@
 
 const (
 	// askUnits is the time between two requests for units, well below
-	// quota.GrantLease. While tasks lack units it is askShort.
+	// quota.GrantLease. While tasks lack units it doubles from askFirst to
+	// askShort.
 	askUnits = 2 * time.Second
 	askShort = 500 * time.Millisecond
+	askFirst = 50 * time.Millisecond
 	// costAhead is how far ahead the cost of busy slots is asked for. A granter
 	// gets units for its data centre only every quota.RenewEvery, and a shorter
 	// time leaves the team idle until then.
@@ -44,7 +46,7 @@
 		}
 	}
 	ask, back := !now.Before(c.limits.nextAsk), !now.Before(c.limits.nextBack)
-	if !ask && !(short && now.Add(askUnits-askShort).After(c.limits.nextAsk)) {
+	if !ask && !(short && now.Add(askUnits-c.limits.askPause).After(c.limits.nextAsk)) {
 		return
 	}
 	granter, linked := c.linked(id)
@@ -52,6 +54,7 @@
 		return
 	}
 	c.limits.nextAsk = now.Add(askUnits)
+	c.limits.askPause = min(2*c.limits.askPause, askShort)
 	requests := c.limits.book.Demand(now, c.waitingUnits(now))
 	if back {
 		c.limits.nextBack = now.Add(askUnits)
@@ -69,6 +72,15 @@
 	}
 }
 
+// lackUnits takes note of a limit that keeps tasks waiting. When it has not done
+// so lately, units are asked for soon.
+func (c *Core) lackUnits(now time.Time, limit quota.LimitName) {
+	if !c.isShort(now, limit) {
+		c.limits.askPause = askFirst
+	}
+	c.limits.short[limit] = now
+}
+
 // waitingUnits counts, for each limit, the tasks that wait here, or at a peer of
 // the data centre, and could start here if there were units. For limits on cost
 // it is what these and the running tasks would cost if their slots stayed busy
@@ -185,7 +197,7 @@
 		return false
 	}
 	if !l.granter.Wanting(now) {
-		l.earlyAt = now.Add(askShort)
+		l.earlyAt = now.Add(askFirst)
 		return false
 	}
 	l.earlyAt = now.Add(quota.RenewEvery)
