Bound what a backlog costs the owner

An endpoint on trial, which runs one task, counted as open: each waiting task was tried on each of them, at each answer and each withdrawal. Change: endpoints on trial are not open; a withdrawal frees nothing, so that it starts nothing; a refused task alone is tried again; a room that no endpoint has is remembered for all batches that the same endpoints may run; an endpoint that has changed tries the first 500 tasks of either kind, the next tick the rest; started tasks leave the queue one by one.

--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -11,7 +11,7 @@
 // dispatch starts waiting tasks on any endpoints with room.
 func (p *Pool) dispatch(now time.Time) {
 	if p.mayStart(now) {
-		p.startWaiting(now, p.usable(now))
+		p.startWaiting(now, p.usable(now), len(p.waiting))
 	}
 }
 
@@ -19,10 +19,14 @@
 // have no room for what waits, which was seen when they changed.
 func (p *Pool) dispatchOn(now time.Time, e *endpoint) {
 	if p.mayStart(now) && p.open(now, e) {
-		p.startWaiting(now, []*endpoint{e})
+		p.startWaiting(now, []*endpoint{e}, scanLimit)
 	}
 }
 
+// scanLimit bounds the waiting tasks that are tried on an endpoint that has
+// changed. The next tick tries the rest.
+const scanLimit = 500
+
 // dispatchNew starts tasks that were just enqueued.
 func (p *Pool) dispatchNew(now time.Time, batches []*batch) {
 	if !p.mayStart(now) {
@@ -51,8 +55,8 @@
 
 // startWaiting starts waiting tasks on endpoints. Tasks that can still be in
 // time come first, those that must start soonest before the others; tasks that
-// are late already follow.
-func (p *Pool) startWaiting(now time.Time, usable []*endpoint) {
+// are late already follow. At most limit tasks of either kind are tried.
+func (p *Pool) startWaiting(now time.Time, usable []*endpoint, limit int) {
 	if len(usable) == 0 {
 		return
 	}
@@ -62,8 +66,8 @@
 		}
 		return 1
 	})
-	chosen := p.startRange(now, p.waiting[first:], &usable)
-	chosen = append(chosen, p.startRange(now, p.waiting[:first], &usable)...)
+	chosen := p.startRange(now, p.waiting[first:min(first+limit, len(p.waiting))], &usable)
+	chosen = append(chosen, p.startRange(now, p.waiting[:min(first, limit)], &usable)...)
 	p.startChosen(now, chosen)
 }
 
@@ -72,15 +76,24 @@
 	if len(chosen) == 0 {
 		return
 	}
-	p.waiting = slices.DeleteFunc(p.waiting, func(t *task) bool { return !t.queued })
+	if len(chosen) > removeEach {
+		p.waiting = slices.DeleteFunc(p.waiting, func(t *task) bool { return !t.queued })
+	}
 	for _, t := range chosen {
+		if len(chosen) <= removeEach {
+			p.removeWaiting(t)
+		}
 		p.start(now, t)
 	}
 }
 
+// removeEach is the number of started tasks up to which they leave the queue one
+// by one, which is faster than a pass over a long queue.
+const removeEach = 16
+
 // open reports whether the endpoint may start tasks and has processors free.
 func (p *Pool) open(now time.Time, e *endpoint) bool {
-	return e.usable(now, p.cfg.MissingWait) && e.free().CPU > 0 && p.mine(e.Endpoint)
+	return e.free().CPU > 0 && !e.onTrial() && e.usable(now, p.cfg.MissingWait) && p.mine(e.Endpoint)
 }
 
 // usable returns the endpoints that may start tasks and have processors free.
@@ -107,24 +120,27 @@
 // startRange chooses endpoints for tasks in order and occupies their room.
 func (p *Pool) startRange(now time.Time, tasks []*task, usable *[]*endpoint) []*task {
 	var chosen []*task
-	var failed *batch
 	seen, free := p.seenSince(), most(*usable)
+	p.round++
 	for _, t := range tasks {
 		if len(*usable) == 0 {
 			break
 		}
-		// Tasks of a batch have the same needs.
-		if t.batch == failed || !t.batch.needs.Room.Fits(free) || !p.certain(now, seen, t) || len(p.present[t.key]) > 0 {
+		room, kind := t.batch.needs.Room, t.batch.kind
+		if !room.Fits(free) || kind.failed(p.round, room) || !p.certain(now, seen, t) {
 			continue
 		}
 		e := p.choose(t, *usable)
 		if e == nil {
-			failed = t.batch
+			kind.fail(p.round, room)
+			continue
+		}
+		if len(p.present[t.key]) > 0 {
 			continue
 		}
 		p.occupy(now, t, e)
 		chosen = append(chosen, t)
-		if e.free().CPU <= 0 || e.health.trial {
+		if e.free().CPU <= 0 || e.onTrial() {
 			*usable = slices.DeleteFunc(*usable, func(o *endpoint) bool { return o == e })
 		}
 		free = most(*usable)
@@ -164,7 +180,7 @@
 	if e.Service != b.service || !n.Room.Fits(e.free()) {
 		return false
 	}
-	if e.health.trial && len(e.runs) > 0 {
+	if e.onTrial() {
 		return false
 	}
 	if n.RequiredLabel != "" && !slices.Contains(e.Labels, n.RequiredLabel) {
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -94,6 +94,10 @@
 		(e.missingFrom.IsZero() || now.Sub(e.missingFrom) < missingWait)
 }
 
+// onTrial reports whether the endpoint runs the single task that it may run
+// after a rest.
+func (e *endpoint) onTrial() bool { return e.health.trial && len(e.runs) > 0 }
+
 // read takes a reading of the endpoint's clock that arrived now.
 func (e *endpoint) read(now time.Time, clock Moment) {
 	if clock > e.clock {
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -41,7 +41,7 @@
 	b := p.batches[id]
 	if b == nil {
 		b = &batch{
-			home: home, job: o.Job, step: o.Step, service: o.Service, payload: o.Payload, needs: o.Needs,
+			home: home, job: o.Job, step: o.Step, service: o.Service, payload: o.Payload, needs: o.Needs, kind: p.kindFor(o.Service, &o.Needs),
 			placed: now, target: now.Add(o.Target), deadline: now.Add(o.Deadline), tasks: map[int]*task{},
 		}
 		p.batches[id] = b
@@ -160,7 +160,6 @@
 			p.withdraw(b)
 		}
 	}
-	p.dispatch(now)
 	return p.flush()
 }
 
@@ -178,7 +177,6 @@
 	for _, b := range gone {
 		p.withdraw(b)
 	}
-	p.dispatch(now)
 	return p.flush()
 }
 
@@ -274,7 +272,19 @@
 		return
 	}
 	t.queued = false
-	if i := slices.Index(p.waiting, t); i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
+	p.removeWaiting(t)
+}
+
+// removeWaiting takes a task out of the queue.
+func (p *Pool) removeWaiting(t *task) {
+	by := t.batch.startBy()
+	at, _ := slices.BinarySearchFunc(p.waiting, by, func(o *task, by time.Time) int {
+		if o.batch.startBy().Before(by) {
+			return -1
+		}
+		return 1
+	})
+	if i := slices.Index(p.waiting[at:], t); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, at+i, at+i+1)
 	}
 }
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -46,6 +46,9 @@
 	ends      map[ident.Process][]job.End
 	out       []Action
 	stats     Stats
+	// kindsOf holds the kinds of batches, and round counts the searches.
+	kindsOf map[kindID]*kind
+	round   uint64
 	// kinds learns the ratio of run time to estimate over like endpoints.
 	kinds map[likeness]*speed
 }
@@ -83,6 +86,7 @@
 	p.calls = map[uint64]pending{}
 	p.ends = map[ident.Process][]job.End{}
 	p.kinds = map[likeness]*speed{}
+	p.kindsOf = map[kindID]*kind{}
 	p.probes, p.glancedAt, p.glanceDue = 0, time.Time{}, false
 	for _, e := range p.endpoints {
 		e.forget()
--- a/internal/decide/owner/start.go
+++ b/internal/decide/owner/start.go
@@ -14,6 +14,7 @@
 	if !ok || c.endpoint.find(r.id) != r {
 		return nil
 	}
+	t := r.task
 	if a.Clock > 0 && a.Clock > r.endpoint.clock {
 		r.endpoint.read(now, a.Clock)
 	}
@@ -22,8 +23,8 @@
 	} else {
 		p.startAnswered(now, r, a, c.overtaken())
 	}
-	if a.Reply != OK {
-		p.dispatch(now)
+	if t != nil && t.queued {
+		p.dispatchNew(now, []*batch{t.batch})
 	}
 	return p.flush()
 }
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -15,6 +15,7 @@
 	service ident.Service
 	payload string
 	needs   job.Needs
+	kind    *kind
 	placed  time.Time
 	// target is when the answer becomes late, and deadline when the caller
 	// gives up.
