Let leases of silent endpoints end, and say what happens to runs

Cause: a test for the new log lines found that runs on an endpoint that is gone never counted as ended: each unanswered look might have renewed the lease there, and looks followed each other before that one had run out. Their tasks waited for their callers' deadlines. Ruled out: a shorter lease; a takeover must fit into it. Change: from the second unanswered look on, looks renew no lease. The owner notes each decision about a run (taken over, lapsed, vanished, broken, stalled, yielded, declined, reborn, unclaimed, inherited, resubmitted) with the age of what it believed, and the home writes a line when it takes a job. Measured: TestDeadEndpoint fails before (renewFailures = 1000) and passes: a task starts elsewhere within 2 s.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -388,6 +388,12 @@
 	return known
 }
 
+// Following returns the instance that owns the endpoints in this view, or "".
+func (c *Core) Following() ident.InstanceID {
+	lead, _ := c.view.Owner()
+	return lead.Instance
+}
+
 // Epoch returns the highest epoch that is known.
 func (c *Core) Epoch() uint64 { return c.view.Epoch() }
 
--- a/internal/decide/owner/event.go
+++ b/internal/decide/owner/event.go
@@ -115,7 +115,7 @@
 	Fence    Fence
 }
 
-// Action is something to carry out: Look, Start, Stop or Report.
+// Action is something to carry out: Look, Start, Stop, Report or Note.
 type Action interface{ action() }
 
 // Look renews the lease of an endpoint until Until, unless it is zero, and asks
@@ -149,6 +149,50 @@
 	Ends []job.End
 }
 
+// Event names what the owner decided about a run.
+type Event string
+
+// The events.
+const (
+	// Adopted: a run of an earlier owner goes on for its home.
+	Adopted Event = "adopted"
+	// Unclaimed: a run of an earlier owner is stopped, since no home wants it.
+	Unclaimed Event = "unclaimed"
+	// Inherited: a task was done under an earlier owner.
+	Inherited Event = "inherited"
+	// Resubmitted: a run is stopped, since its job came again elsewhere.
+	Resubmitted Event = "resubmitted"
+	// Lapsed: the lease of a run has surely ended.
+	Lapsed Event = "lapsed"
+	// Vanished: a list that should show a run does not.
+	Vanished Event = "vanished"
+	// Broken: the endpoint says that a run ended without a result.
+	Broken Event = "broken"
+	// Stalled: a run makes no progress.
+	Stalled Event = "stalled"
+	// Yielded: the endpoint obeys another owner.
+	Yielded Event = "yielded"
+	// Declined: the endpoint refused the start.
+	Declined Event = "declined"
+	// Reborn: the endpoint lives anew.
+	Reborn Event = "reborn"
+)
+
+// Note tells of a decision about a run, for logs.
+type Note struct {
+	Event    Event
+	Key      job.Key
+	Run      int
+	Endpoint ident.EndpointID
+	// Age is how long this owner had known of the run, and Seen the age of the
+	// newest look that the endpoint answered, or negative when there was none.
+	Age  time.Duration
+	Seen time.Duration
+	// Wanted is set when the task waits for another run.
+	Wanted bool
+}
+
+func (Note) action()   {}
 func (Look) action()   {}
 func (Start) action()  {}
 func (Stop) action()   {}
--- a/internal/decide/owner/hold.go
+++ b/internal/decide/owner/hold.go
@@ -84,6 +84,7 @@
 	p.Hesitate(now)
 	for _, r := range slices.Clone(e.runs) {
 		if t := r.task; t != nil {
+			p.note(now, Yielded, r)
 			p.remove(r)
 			t.handed = now
 			p.requeue(t)
--- a/internal/decide/owner/inherit.go
+++ b/internal/decide/owner/inherit.go
@@ -27,7 +27,7 @@
 	for _, b := range p.jobs[end.Key.Job] {
 		t := b.tasks[end.Key.Index]
 		if b.step == end.Key.Step && end.Key.Occurrence == 0 && t != nil && t.run == nil && !t.handed.IsZero() {
-			p.finish(t, job.End{Run: end.Run, Outcome: job.Done, Endpoint: e.ID})
+			p.finishInherited(now, t, inherited{run: end.Run, endpoint: e.ID, at: now})
 			return
 		}
 	}
@@ -36,16 +36,22 @@
 
 // bequeathed finishes a task that was done under an earlier owner, and reports
 // whether there was such an end.
-func (p *Pool) bequeathed(t *task) bool {
+func (p *Pool) bequeathed(now time.Time, t *task) bool {
 	i, ok := p.inherited[t.key]
 	if !ok || t.handed.IsZero() {
 		return false
 	}
 	delete(p.inherited, t.key)
-	p.finish(t, job.End{Run: i.run, Outcome: job.Done, Endpoint: i.endpoint})
+	p.finishInherited(now, t, i)
 	return true
 }
 
+// finishInherited reports the end of a task under an earlier owner.
+func (p *Pool) finishInherited(now time.Time, t *task, i inherited) {
+	p.out = append(p.out, Note{Event: Inherited, Key: t.key, Run: i.run, Endpoint: i.endpoint, Seen: now.Sub(i.at)})
+	p.finish(t, job.End{Run: i.run, Outcome: job.Done, Endpoint: i.endpoint})
+}
+
 // forgetInherited drops ends that no home asked for.
 func (p *Pool) forgetInherited(now time.Time) {
 	for key, i := range p.inherited {
--- a/internal/decide/owner/look.go
+++ b/internal/decide/owner/look.go
@@ -22,7 +22,7 @@
 		wait = min(wait, p.cfg.UnsteadyWait+time.Duration(p.unsteady)*p.cfg.UnsteadyStep)
 	}
 	look := Look{Call: p.call(e), Acknowledged: e.acknowledged, Wait: wait}
-	if e.clock > 0 {
+	if e.clock > 0 && e.failures < renewFailures {
 		look.Until = e.leaseEnd(now, p.cfg.LeaseMax)
 	}
 	e.look = look.Number
@@ -35,6 +35,11 @@
 	p.out = append(p.out, look)
 }
 
+// renewFailures is the number of looks without an answer, one after the other,
+// from which on a look renews no lease: each might reach the endpoint, so that
+// its runs would never count as ended. A single answer gets lost now and then.
+const renewFailures = 2
+
 // Looked takes the result of a Look.
 func (p *Pool) Looked(now time.Time, l *Looked) []Action {
 	c, ok := p.calls[l.Call]
@@ -119,7 +124,7 @@
 		}
 	}
 	p.settle(e, l.Sent, listed)
-	p.miss(e, l.Clock, listed)
+	p.miss(now, e, l.Clock, listed)
 	p.restartStalled(now, e)
 }
 
@@ -139,6 +144,7 @@
 		// A start may have reached the new life, so that only a stop makes sure.
 		r.mark = 0
 		if !listed[r.id] {
+			p.note(now, Reborn, r)
 			r.doubted = true
 			p.stop(r)
 		}
@@ -182,14 +188,14 @@
 
 // miss removes the runs that a list of the endpoint's time clock should show
 // and does not.
-func (p *Pool) miss(e *endpoint, clock Moment, listed map[runID]bool) {
+func (p *Pool) miss(now time.Time, e *endpoint, clock Moment, listed map[runID]bool) {
 	for _, r := range slices.Clone(e.runs) {
 		if listed[r.id] || r.mark == 0 || clock <= r.mark {
 			continue
 		}
 		switch {
 		case r.phase == running, r.phase == stopping && r.stopped:
-			p.lose(r)
+			p.lose(now, r, Vanished)
 		}
 	}
 }
@@ -203,6 +209,9 @@
 	}
 	t := r.task
 	ran := now.Sub(r.began)
+	if t != nil && end.How != EndDone && end.How != EndFailed {
+		p.note(now, Broken, r)
+	}
 	p.remove(r)
 	if end.How == EndDone && t != nil {
 		e.health.succeed()
@@ -249,7 +258,10 @@
 
 // glance looks at an endpoint at once, beside a look that waits.
 func (p *Pool) glance(now time.Time, e *endpoint) {
-	look := Look{Call: p.call(e), Acknowledged: e.acknowledged, Until: e.leaseEnd(now, p.cfg.LeaseMax)}
+	look := Look{Call: p.call(e), Acknowledged: e.acknowledged}
+	if e.failures < renewFailures {
+		look.Until = e.leaseEnd(now, p.cfg.LeaseMax)
+	}
 	p.calls[look.Number] = pending{endpoint: e, fence: look.Fence}
 	p.stats.Looks++
 	p.out = append(p.out, look)
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -84,6 +84,7 @@
 			continue
 		}
 		if r.task != nil {
+			p.note(now, Resubmitted, r)
 			p.abandon(r.task)
 		}
 		p.stop(r)
@@ -94,7 +95,7 @@
 	if handed {
 		t.handed = now
 	}
-	if !p.bequeathed(t) {
+	if !p.bequeathed(now, t) {
 		p.enqueue(t)
 	}
 }
@@ -111,6 +112,7 @@
 func (p *Pool) adopt(now time.Time, t *task, r *run) {
 	e := r.endpoint
 	r.claimed, r.room, r.task, t.run = true, t.batch.needs.Room, t, r
+	p.note(now, Adopted, r)
 	r.began = now
 	t.ran = true
 	e.unclaimed--
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -195,11 +195,14 @@
 		p.lookAt(now, e)
 	}
 	if e.failures > 0 && len(e.runs) > 0 && e.lapsed(now, &p.cfg) {
-		p.loseAll(e)
+		for _, r := range slices.Clone(e.runs) {
+			p.lose(now, r, Lapsed)
+		}
 	}
 	for _, r := range e.runs {
 		if !r.claimed && r.phase != stopping && now.Sub(r.began) >= p.cfg.AdoptWait {
 			p.stats.Unclaimed++
+			p.note(now, Unclaimed, r)
 			p.stop(r)
 		}
 		if r.phase == stopping && !r.stopped && r.stopCall == 0 && !now.Before(r.nextStop) {
@@ -213,17 +216,23 @@
 	return Call{Number: p.number, Endpoint: e.ID, Address: e.Address, Fence: e.fence}
 }
 
-// loseAll gives up all runs of an endpoint that have surely ended, or that
-// another owner has taken over. Their tasks start elsewhere.
-func (p *Pool) loseAll(e *endpoint) {
-	for _, r := range slices.Clone(e.runs) {
-		p.lose(r)
+// note tells of a decision about a run, before it is carried out.
+func (p *Pool) note(now time.Time, event Event, r *run) {
+	seen := time.Duration(-1)
+	if !r.endpoint.seenAt.IsZero() {
+		seen = now.Sub(r.endpoint.seenAt)
 	}
+	p.out = append(p.out, Note{
+		Event: event, Key: r.id.key, Run: r.id.run, Endpoint: r.endpoint.ID, Age: now.Sub(r.began), Seen: seen, Wanted: r.task != nil,
+	})
 }
 
 // lose removes a run that ended without a result.
-func (p *Pool) lose(r *run) {
+func (p *Pool) lose(now time.Time, r *run, event Event) {
 	t := r.task
+	if t != nil || event == Lapsed {
+		p.note(now, event, r)
+	}
 	p.remove(r)
 	if t == nil {
 		return
--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -31,6 +31,7 @@
 	starts    []owner.Start
 	stops     []owner.Stop
 	ends      []job.End
+	notes     []owner.Note
 }
 
 func newBench(t *testing.T, endpoints int) *bench {
@@ -80,6 +81,8 @@
 			b.stops = append(b.stops, a)
 		case owner.Report:
 			b.ends = append(b.ends, a.Ends...)
+		case owner.Note:
+			b.notes = append(b.notes, a)
 		}
 	}
 }
@@ -234,6 +237,36 @@
 	b.is.Equal(b.ends[0].Outcome, job.Overdue)
 }
 
+// TestDeadEndpoint guards against a task that never starts elsewhere when its
+// endpoint is gone, since each unanswered look might renew the lease there.
+func TestDeadEndpoint(t *testing.T) {
+	b := newBench(t, 2)
+	o := order("j", 1, 10_000)
+	o.Deadline = time.Minute
+	b.place(home1, o)
+	silent := b.starts[0].Endpoint
+	b.startAll()
+	begun := b.now
+	for len(b.starts) == 0 && b.now.Sub(begun) < 10*time.Second {
+		b.pass(20 * time.Millisecond)
+		looks := b.looks
+		b.looks = nil
+		for _, l := range looks {
+			out := owner.Looked{Call: l.Number, Reply: owner.Unknown}
+			if l.Endpoint != silent {
+				out = b.endpoints[l.Endpoint].Look(b.now, l)
+			}
+			out.Sent = b.now
+			b.take(b.pool.Looked(b.now, &out))
+		}
+	}
+	b.is.Equal(len(b.starts), 1)
+	b.is.True(b.starts[0].Endpoint != silent)
+	// The longest lease, the share that a clock may be slow, the time in which
+	// another owner may keep the run, and the time for the looks to fail.
+	b.is.True(b.now.Sub(begun) <= 2*time.Second)
+}
+
 // TestWhere guards against starts where the needs of a step forbid them.
 func TestWhere(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/decide/owner/stall.go
+++ b/internal/decide/owner/stall.go
@@ -13,6 +13,7 @@
 			continue
 		}
 		t := r.task
+		p.note(now, Stalled, r)
 		p.stats.Restarts++
 		// Unlike a failure, this is hardly the fault of the task.
 		e.health.failed = max(e.health.failed, failuresToRest-1)
--- a/internal/decide/owner/start.go
+++ b/internal/decide/owner/start.go
@@ -48,6 +48,7 @@
 		p.glance(now, e)
 		return
 	case Fenced:
+		p.note(now, Yielded, r)
 		p.remove(r)
 		if t != nil {
 			p.requeue(t)
@@ -58,6 +59,7 @@
 		return
 	}
 	p.stats.StartsRefused++
+	p.note(now, Declined, r)
 	p.remove(r)
 	if a.Reply != OldRun && a.Reply != Late {
 		e.restUntil = now.Add(p.cfg.Cooldown)
--- a/internal/process/dispatch/jobs.go
+++ b/internal/process/dispatch/jobs.go
@@ -55,6 +55,7 @@
 		p.next++
 		request = p.next
 		p.wait[request] = reply
+		p.logTaken(m, spec, deadline)
 		p.act(now, p.core.Submit(now, request, spec, terms, deadline))
 	})
 	select {
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -70,6 +70,8 @@
 			go p.runStart(a)
 		case owner.Stop:
 			go p.runStop(a)
+		case owner.Note:
+			p.logNote(a)
 		case home.Answer:
 			p.answer(a)
 		case dispatcher.Send:
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 )
@@ -105,6 +106,18 @@
 	}).Info("state of the owner")
 }
 
+// logTaken writes the line of a job that a caller has handed in.
+func (p *Process) logTaken(m Match, spec job.Spec, deadline time.Duration) {
+	tasks := 0
+	for i := range spec.Steps {
+		tasks += spec.Steps[i].Tasks
+	}
+	p.log.WithFields(logrus.Fields{
+		"job": spec.ID, "route": m.Route.Name, "config-version": m.ConfigVersion, "steps": len(spec.Steps), "tasks": tasks,
+		"deadline": deadline.Round(time.Millisecond).String(), "owner": p.core.Following(), "jobs-open": p.core.Jobs().Open(),
+	}).Info("job taken")
+}
+
 // logAnswer writes the line of a job that has ended.
 func (p *Process) logAnswer(a home.Answer) {
 	p.count.answer(a.Route, a.Result.String()).Inc()
@@ -120,6 +133,14 @@
 	}).Info("job answered")
 }
 
+// logNote writes a line for a decision about a run.
+func (p *Process) logNote(n owner.Note) {
+	p.log.WithFields(logrus.Fields{
+		"task": n.Key.String(), "run": n.Run, "endpoint": n.Endpoint, "event": string(n.Event), "again": n.Wanted,
+		"age": n.Age.Round(time.Millisecond).String(), "seen": n.Seen.Round(time.Millisecond).String(), "epoch": p.core.Epoch(),
+	}).Info("run of a task")
+}
+
 // logLook writes a line for a look that an endpoint did not answer.
 func (p *Process) logLook(l owner.Look, r owner.Looked) {
 	if r.Reply == owner.OK || r.Reply == owner.Fenced {
