Wait for answers as long as they usually take

Change: the owner learns the time of answered calls as TCP does its round trips and waits for mean + 8 deviations, within 40 to 120 ms, instead of 120 ms.

--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -32,6 +32,10 @@
 	UnsteadyWait time.Duration
 	UnsteadyStep time.Duration
 	UnsteadyTime time.Duration
+	// AnswerMin and AnswerMax bound the time within which a call must be answered,
+	// beyond the wait that a look asks for. It is learned in between.
+	AnswerMin time.Duration
+	AnswerMax time.Duration
 	// YieldWait is how long waiting tasks are not started after another owner
 	// has shown. It exceeds the silence after which a home counts as lost.
 	YieldWait time.Duration
@@ -87,6 +91,8 @@
 	set(&c.UnsteadyWait, 60*time.Millisecond)
 	set(&c.UnsteadyStep, 4*time.Millisecond)
 	set(&c.UnsteadyTime, 5*time.Second)
+	set(&c.AnswerMin, 40*time.Millisecond)
+	set(&c.AnswerMax, 120*time.Millisecond)
 	set(&c.YieldWait, 650*time.Millisecond)
 	set(&c.LookRetry, 50*time.Millisecond)
 	set(&c.GlanceWait, 100*time.Millisecond)
@@ -129,6 +135,8 @@
 		return invalid("clock-error", "must be 0 to 0.5")
 	case c.FarFactor < 1:
 		return invalid("far-factor", "must be at least 1")
+	case c.AnswerMin <= 0 || c.AnswerMax < c.AnswerMin:
+		return invalid("answer-min", "must be above 0 and at most answer-max")
 	case c.MaxProbes < 1:
 		return invalid("max-probes", "must be at least 1")
 	case c.MaxWaiting < 1:
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -229,7 +229,7 @@
 	r := t.run
 	e := r.endpoint
 	s := Start{Call: p.call(e), Key: t.key, Run: r.id.run, Payload: t.batch.payload, Until: e.leaseEnd(now, p.cfg.LeaseMax)}
-	p.calls[s.Number] = pending{endpoint: e, run: r, fence: s.Fence}
+	p.calls[s.Number] = pending{endpoint: e, run: r, fence: s.Fence, sent: now}
 	p.stats.Starts++
 	p.out = append(p.out, s)
 }
--- a/internal/decide/owner/event.go
+++ b/internal/decide/owner/event.go
@@ -113,6 +113,8 @@
 	Endpoint ident.EndpointID
 	Address  string
 	Fence    Fence
+	// Timeout is how long the answer may take, beyond the wait of a Look.
+	Timeout time.Duration
 }
 
 // Action is something to carry out: Look, Start, Stop, Report or Note.
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -37,6 +37,7 @@
 	number    uint64
 	// unsteady counts the endpoints that lately failed to answer a look.
 	unsteady int
+	patience patience
 	// probes counts the looks under way at endpoints that are not held.
 	probes int
 	// glancedAt is when all endpoints were last looked at for tasks of another
@@ -59,6 +60,7 @@
 	endpoint *endpoint
 	run      *run
 	fence    Fence
+	sent     time.Time
 }
 
 // overtaken reports whether the endpoint has obeyed a higher fence of this owner
@@ -213,7 +215,9 @@
 
 func (p *Pool) call(e *endpoint) Call {
 	p.number++
-	return Call{Number: p.number, Endpoint: e.ID, Address: e.Address, Fence: e.fence}
+	return Call{
+		Number: p.number, Endpoint: e.ID, Address: e.Address, Fence: e.fence, Timeout: p.patience.limit(&p.cfg),
+	}
 }
 
 // note tells of a decision about a run, before it is carried out.
--- a/internal/decide/owner/start.go
+++ b/internal/decide/owner/start.go
@@ -14,6 +14,9 @@
 	if !ok || c.endpoint.find(r.id) != r {
 		return nil
 	}
+	if a.Reply != Unknown && a.Reply != NotSent && !c.sent.IsZero() {
+		p.patience.learn(now.Sub(c.sent))
+	}
 	t := r.task
 	if a.Clock > 0 && a.Clock > r.endpoint.clock {
 		r.endpoint.read(now, a.Clock)
