Tell the life of a job from logs, and check the platform's files

hornbeamlift explain ID reads logs of any number of instances, as collectors keep them, and tells who took the job, what happened to its runs, what the owner believed and how old that was, and the answer. It says when lines are missing or were dropped. hornbeamlift check also reads the settings file of an instance and the configuration as the store keeps it, and lists all faults of all files.

--- a/cmd/hornbeamlift/main.go
+++ b/cmd/hornbeamlift/main.go
@@ -38,6 +38,7 @@
 	statusCommand,
 	serveCommand,
 	dispatchCommand,
+	explainCommand,
 	demoCommand,
 	standInCommand,
 }
--- a/cmd/hornbeamlift/main_test.go
+++ b/cmd/hornbeamlift/main_test.go
@@ -75,17 +75,29 @@
 	token := write(t, "secret\n")
 	job := write(t, `[{"input":"a"},{"input":"b","deadline-ms":500}]`)
 	submit := []string{"submit", "--address", address, "--service", "press", "--team", "shop"}
+	logs := write(t, `{"instance":"n","msg":"job taken","time":"2026-01-01T10:00:00.000Z","job":"a1"}`+"\n")
+	settings := write(t, "node = \"n\"\norders = \"pigeon\"\n")
+	stored := write(t, `{"version":7,"routes":[{"name":"r","host":"h","prefix":"/x/","service":"s"}]}`)
 	cases := map[string]struct {
 		args []string
 		exit int
 		text string
 	}{
+		"explain":           {[]string{"explain", "a1", logs}, 0, "taken by n and not answered"},
+		"explain, no line":  {[]string{"explain", "b2", logs}, 1, "no line of 1 names b2"},
+		"explain, no file":  {[]string{"explain", "a1", "/nonexistent"}, 1, "/nonexistent"},
+		"explain, no id":    {[]string{"explain"}, 2, "ID"},
+		"check settings":    {[]string{"check", "--settings", settings}, 2, "orders"},
+		"check all faults":  {[]string{"check", "--settings", settings}, 2, "platform.addr"},
+		"check stored":      {[]string{"check", "--stored", stored}, 0, "version 7, 1 routes"},
+		"check bad stored":  {[]string{"check", "--stored", logs}, 1, "version"},
 		"version":           {[]string{"--version"}, 0, "hornbeamlift version"},
 		"help":              {[]string{"--help"}, 0, "apply"},
 		"no subcommand":     {nil, 2, "subcommand is required"},
 		"unknown command":   {[]string{"serves"}, 2, `no subcommand "serves"`},
 		"unknown flag":      {[]string{"check", "--fiel", "x"}, 2, "fiel"},
 		"missing flag":      {[]string{"check"}, 2, "file"},
+		"check of several":  {[]string{"check", "-f", examplePath, "--stored", stored}, 0, "version 7, 1 routes"},
 		"extra argument":    {[]string{"check", "-f", examplePath, "x"}, 2, `unexpected argument "x"`},
 		"check":             {[]string{"check", "-f", examplePath}, 0, "2 services, 2 teams"},
 		"check faulty":      {[]string{"check", "-f", write(t, "services: [{name: A}]\nx: 1")}, 1, "(x)"},
--- /dev/null
+++ b/internal/adapter/logread/life_test.go
@@ -0,0 +1,102 @@
+package logread_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/adapter/logread"
+)
+
+// logs holds lines of two instances as a collector may keep them, out of order
+// and with text before them.
+const logs = `  2.290 entry-1 {"instance":"entry-1","msg":"state of the owner","time":"2026-01-01T10:00:02.290Z","endpoints":48,"usable":40,"held":44,"resting":3,"waiting":120,"running":71,"list-age":"364ms"}
+not a line of an instance
+{"instance":"entry-2","msg":"job answered","time":"2026-01-01T10:00:03.452Z","job":"a1","result":"finished","open":"771ms","target":"145ms","reason":"","ends":"a1.0.0.0/1 done i-1 waited 0s ran 46ms; a1.0.0.1/2 done i-2 waited 600ms ran 98ms"}
+{"instance":"entry-2","msg":"job taken","time":"2026-01-01T10:00:02.681Z","job":"a1","owner":"entry-1","tasks":2,"deadline":"2s"}
+{"instance":"entry-1","msg":"run of a task","time":"2026-01-01T10:00:02.899Z","task":"a1.0.0.1","run":1,"endpoint":"i-3","event":"vanished","age":"54ms","seen":"3ms","fence":216785356089152}
+{"instance":"entry-2","msg":"job taken","time":"2026-01-01T10:00:02.700Z","job":"b2","owner":"entry-1","tasks":2,"deadline":"2s"}
+{"instance":"entry-2","msg":"instance started","time":"2026-01-01T10:00:04.700Z"}
+{"instance":"entry-3","msg":"instance started","time":"2026-01-01T10:00:02.800Z"}
+{"instance":"entry-2","msg":"job taken","time":"2026-01-01T10:00:02.100Z","job":"c3","owner":"entry-1","tasks":2,"deadline":"500ms"}
+{"instance":"entry-2","msg":"job answered","time":"2026-01-01T10:00:02.600Z","job":"c3","result":"refused","open":"500ms","target":"145ms","reason":"the owner refused a task","ends":"c3.0.0.0/0 refused  waited 500ms ran 0s"}
+{"instance":"entry-2","msg":"job rejected","time":"2026-01-01T10:00:02.650Z","job":"d4","reason":"bad-field (steps): too many"}
+{"instance":"entry-2","msg":"job taken","time":"2026-01-01T10:00:07.000Z","job":"e5","owner":"entry-1","tasks":2,"deadline":"500ms"}
+`
+
+// TestLife guards against causes of late, refused and lost jobs that the logs
+// hold and that are not told.
+func TestLife(t *testing.T) {
+	tests := map[string]struct {
+		id    string
+		known bool
+		want  []string
+		not   []string
+	}{
+		"late": {"a1", true, []string{
+			"finished late: 771ms, the target was 145ms", "a1.0.0.1/2 done i-2 waited 600ms ran 98ms",
+			"run 1 of a1.0.0.1 at i-3: vanished, known for 54ms", "fence=216785356089152",
+			"10:00:02.681 entry-2", "40 of 48 usable, 3 resting, 120 tasks waiting",
+		}, []string{"entry-3", "b2"}},
+		"lost with its home": {"b2", true, []string{
+			"taken by entry-2 and not answered", "entry-2 started anew 2s later",
+		}, []string{"a1"}},
+		"refused": {"c3", true, []string{
+			"refused after 500ms, the target was 145ms: the owner refused a task", "entry-1 owned the endpoints 310ms before",
+		}, nil},
+		"rejected":        {"d4", true, []string{"refused before anything started: bad-field (steps): too many"}, nil},
+		"no sign of it":   {"e5", true, []string{"it is gone, it still runs, or its lines are missing"}, nil},
+		"unknown":         {"f6", false, []string{"no line of 11 names f6"}, nil},
+		"part of another": {"a", false, []string{"no line of 11 names a"}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			life := logread.NewLife(tt.id)
+			is.NoErr(life.Read(strings.NewReader(logs)))
+			is.Equal(life.Known(), tt.known)
+			var out strings.Builder
+			life.Tell(&out)
+			for _, text := range tt.want {
+				if !strings.Contains(out.String(), text) {
+					t.Errorf("%q is not told in:\n%s", text, out.String())
+				}
+			}
+			for _, text := range tt.not {
+				if strings.Contains(out.String(), text) {
+					t.Errorf("%q is told in:\n%s", text, out.String())
+				}
+			}
+		})
+	}
+}
+
+// TestDroppedLines guards against a life that is told as whole though lines were
+// dropped.
+func TestDroppedLines(t *testing.T) {
+	is := is.New(t)
+	life := logread.NewLife("a1")
+	is.NoErr(life.Read(strings.NewReader(logs + `{"level":"warning","msg":"log lines were dropped","dropped":17}` + "\n")))
+	var out strings.Builder
+	life.Tell(&out)
+	is.True(strings.Contains(out.String(), "an instance dropped 17 lines"))
+}
+
+// FuzzLine guards against lines of strangers that end the reader.
+func FuzzLine(f *testing.F) {
+	for line := range strings.SplitSeq(logs, "\n") {
+		f.Add([]byte(line))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		life := logread.NewLife("a1")
+		if err := life.Read(strings.NewReader(string(data) + "\n" + logs)); err != nil {
+			return
+		}
+		var out strings.Builder
+		life.Tell(&out)
+		if out.Len() == 0 {
+			t.Error("nothing is told")
+		}
+	})
+}
--- /dev/null
+++ b/internal/adapter/logread/line.go
@@ -0,0 +1,102 @@
+// Package logread reads the log lines that instances write, and tells the life
+// of one job from them.
+package logread
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+)
+
+// maxLine bounds a line, in bytes. Instances write shorter ones.
+const maxLine = 1 << 20
+
+// Line is one line of a log.
+type Line struct {
+	At       time.Time
+	Instance string
+	Message  string
+	// Fields holds the others by name.
+	Fields map[string]any
+}
+
+// Text returns a field as text, or "" when the line lacks it.
+func (l *Line) Text(name string) string {
+	switch v := l.Fields[name].(type) {
+	case nil:
+		return ""
+	case string:
+		return v
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+// Duration returns a field that holds a duration, or zero.
+func (l *Line) Duration(name string) time.Duration {
+	d, err := time.ParseDuration(l.Text(name))
+	if err != nil {
+		return 0 // lines of other versions may lack the field
+	}
+	return d
+}
+
+// ParseLine reads a line. What stands before the first brace is skipped, since
+// collectors put times and names there. It reports false for lines that are
+// none of an instance's.
+func ParseLine(text []byte) (Line, bool) {
+	from := bytes.IndexByte(text, '{')
+	if from < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	d := json.NewDecoder(bytes.NewReader(text[from:]))
+	d.UseNumber()
+	if d.Decode(&fields) != nil {
+		return Line{}, false
+	}
+	take := func(name string) string {
+		s, _ := fields[name].(string)
+		delete(fields, name)
+		return s
+	}
+	l := Line{Instance: take("instance"), Message: take("msg"), Fields: fields}
+	at, err := time.Parse(time.RFC3339Nano, take("time"))
+	if err != nil && l.Message != messageDropped {
+		return Line{}, false
+	}
+	l.At = at
+	return l, l.Message != ""
+}
+
+// read calls f for each line of an instance.
+func read(r io.Reader, f func(Line)) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		if l, ok := ParseLine(s.Bytes()); ok {
+			f(l)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return fault.Wrap(err, fault.Internal, fault.RanNo).WithDetail("the log cannot be read")
+	}
+	return nil
+}
+
+// about reports whether the line names the job or one of its tasks.
+func (l *Line) about(id string) bool {
+	return l.Text("job") == id || strings.HasPrefix(l.Text("task"), id+".")
+}
+
+// byTime sorts lines; those of the same time keep their order.
+func byTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
+}
--- a/internal/core/fault/list.go
+++ b/internal/core/fault/list.go
@@ -1,6 +1,9 @@
 package fault
 
-import "strings"
+import (
+	"errors"
+	"strings"
+)
 
 // List is several failures that are reported at once, such as all faults of a
 // file.
@@ -25,3 +28,24 @@
 	}
 	return errs
 }
+
+// Add adds the failures of err, which may be a list itself; nil adds nothing.
+func (l *List) Add(err error) {
+	if err == nil {
+		return
+	}
+	var list *List
+	if errors.As(err, &list) {
+		l.Faults = append(l.Faults, list.Faults...)
+		return
+	}
+	l.Faults = append(l.Faults, From(err))
+}
+
+// Err returns l, or nil when it is empty.
+func (l *List) Err() error {
+	if len(l.Faults) == 0 {
+		return nil
+	}
+	return l
+}
