--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -196,7 +196,7 @@
 	slices.SortFunc(gone, func(a, b ident.Process) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
 	for _, process := range gone {
 		delete(c.lost, process)
-		c.own(now, c.pool.HomeLost(now, process))
+		c.own(now, c.pool.HomeLost(process))
 	}
 }
 
@@ -292,12 +292,12 @@
 		}
 		if m.Owner.Instance != "" && m.Owner != c.self {
 			// This home has placed its tasks at another owner.
-			c.own(now, c.pool.HomeLost(now, from))
+			c.own(now, c.pool.HomeLost(from))
 		}
 	case Orders:
 		c.own(now, c.pool.Place(now, from, m))
 	case Withdrawal:
-		c.own(now, c.pool.Withdraw(now, from, job.ID(m)))
+		c.own(now, c.pool.Withdraw(from, job.ID(m)))
 	case Ends:
 		c.run(now, c.table.Ends(now, from, m))
 	case List:
@@ -421,7 +421,7 @@
 			c.out = append(c.out, Send{To: a.To, Message: Orders(a.Orders)})
 		case home.Withdraw:
 			if a.To == c.self {
-				c.own(now, c.pool.Withdraw(now, c.self, a.Job))
+				c.own(now, c.pool.Withdraw(c.self, a.Job))
 				continue
 			}
 			c.out = append(c.out, Send{To: a.To, Message: Withdrawal(a.Job)})
--- a/internal/decide/owner/backlog_test.go
+++ b/internal/decide/owner/backlog_test.go
@@ -91,7 +91,7 @@
 				timed(func() { b.take(b.pool.Tick(b.now)) })
 				for range tt.leaving {
 					id := job.ID(fmt.Sprint("j-", left+backlogJobs/2))
-					timed(func() { b.take(b.pool.Withdraw(b.now, home1, id)) })
+					timed(func() { b.take(b.pool.Withdraw(home1, id)) })
 					left++
 					place()
 				}
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -156,7 +156,7 @@
 }
 
 // Withdraw ends all tasks of a job that the home no longer wants.
-func (p *Pool) Withdraw(now time.Time, home ident.Process, id job.ID) []Action {
+func (p *Pool) Withdraw(home ident.Process, id job.ID) []Action {
 	for _, b := range slices.Clone(p.jobs[id]) {
 		if b.home == home {
 			p.withdraw(b)
@@ -166,7 +166,7 @@
 }
 
 // HomeLost ends all tasks of a home that is gone.
-func (p *Pool) HomeLost(now time.Time, home ident.Process) []Action {
+func (p *Pool) HomeLost(home ident.Process) []Action {
 	var gone []*batch
 	for id, b := range p.batches {
 		if id.home == home {
--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -149,7 +149,7 @@
 	b.place(home1, order("j", 5, 10_000))
 	b.is.Equal(len(b.starts), 3) // 32 cores hold three of ten
 	b.startAll()
-	b.take(b.pool.Withdraw(b.now, home1, "j"))
+	b.take(b.pool.Withdraw(home1, "j"))
 	b.is.Equal(len(b.stops), 3)
 	b.place(home1, order("k", 1, 10_000))
 	b.is.Equal(len(b.starts), 0) // the stopped runs have not ended yet
