Ask the others before an owner is succeeded

The instance that was cut off alone (10 s) followed one unreachable peer after the other, and became the owner after 0.95 s while it still counted two more as heard: it took 19 of 48 endpoints, 12 of them its data centre's whole lot and 7 of another's, and the owner of the majority left them alone for 4 s. Change: an instance that loses the owner asks all peers for a pulse at once. It goes over to the next one when a majority has answered or all that are linked; after half the silence whoever has not answered is silent too, so that it knows whether it is isolated before it owns anything.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -69,6 +69,8 @@
 	leader.Pulse
 	// ListAge is the age of the sender's list of endpoints.
 	ListAge time.Duration
+	// Ask is set when the receiver is to answer with a pulse at once.
+	Ask bool
 }
 
 // Orders hands tasks to the owner.
@@ -245,7 +247,7 @@
 // pulse tells peers of this instance.
 func (c *Core) pulse(now time.Time, to []ident.Process) {
 	for _, process := range to {
-		c.out = append(c.out, Send{To: process, Urgent: true, Message: Pulse{Pulse: c.view.Own(), ListAge: now.Sub(c.listAt)}})
+		c.out = append(c.out, Send{To: process, Urgent: true, Message: Pulse{Pulse: c.view.Own(), ListAge: now.Sub(c.listAt), Ask: c.view.Asking()}})
 	}
 }
 
@@ -287,6 +289,9 @@
 	switch m := message.(type) {
 	case Pulse:
 		c.view.Heard(now, from, m.Pulse)
+		if m.Ask {
+			c.out = append(c.out, Send{To: from, Urgent: true, Message: Pulse{Pulse: c.view.Own(), ListAge: now.Sub(c.listAt)}})
+		}
 		if lead, known := c.view.Owner(); known && lead == from {
 			c.ownerListAge = m.ListAge
 		}
@@ -294,6 +299,9 @@
 			// This home has placed its tasks at another owner.
 			c.own(now, c.pool.HomeLost(from))
 		}
+		if c.view.Asking() {
+			return append(c.flush(), c.Tick(now)...)
+		}
 	case Orders:
 		c.own(now, c.pool.Place(now, from, m))
 	case Withdrawal:
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -121,6 +121,9 @@
 	enlisted bool
 	ticked   time.Time
 	owner    ident.Process
+	// asked is when the others were asked to answer, since the owner is gone, or
+	// zero.
+	asked time.Time
 	// isolated is set while the instance hears only a minority, and for a while
 	// after. minorityAt is when it last did.
 	isolated   bool
@@ -248,15 +251,20 @@
 			delete(v.peers, id)
 		}
 	}
+	silent = append(silent, v.succeed(now)...)
 	first, second := v.rank()
-	if v.settled(now) && v.owner != first {
+	if v.settled(now) && v.owner != first && v.asked.IsZero() {
 		v.owner = first
 		v.excuse(now)
 	}
 	v.judgeIsolation(now)
 	for _, id := range ids {
+		p := v.peers[id]
+		if p == nil || !p.linked {
+			continue
+		}
 		// The interval is short from the moment that one side proves to lead.
-		if p := v.peers[id]; p != nil && p.linked && now.Sub(p.sent) >= v.interval(p.process, first, second) {
+		if v.asked.Equal(now) || now.Sub(p.sent) >= v.interval(p.process, first, second) {
 			p.sent = now
 			pulse = append(pulse, p.process)
 		}
@@ -264,6 +272,45 @@
 	return pulse, silent
 }
 
+// succeed asks the others to answer when the owner is gone. It may have a
+// successor when a majority has answered, or all that are linked; after half the
+// silence, whoever has not is silent too. An instance that is cut off alone thus
+// never takes endpoints on behalf of peers that it no longer hears.
+func (v *View) succeed(now time.Time) (silent []ident.Process) {
+	if v.owner.Instance == "" || v.owner == v.cfg.Self || v.Alive(v.owner) {
+		v.asked = time.Time{}
+		return nil
+	}
+	if v.asked.IsZero() {
+		v.asked = now
+	}
+	late := now.Sub(v.asked) >= v.cfg.Silence/2
+	answered, unheard, all := 1, 0, 1
+	for _, id := range slices.Sorted(maps.Keys(v.peers)) {
+		p := v.peers[id]
+		if v.known(now, p) {
+			all++
+		}
+		switch {
+		case !p.linked:
+		case p.heard.After(v.asked):
+			answered++
+		case late:
+			p.linked, p.pulsed = false, false
+			silent = append(silent, p.process)
+		default:
+			unheard++
+		}
+	}
+	if unheard == 0 || 2*answered > all {
+		v.asked = time.Time{}
+	}
+	return silent
+}
+
+// Asking reports whether the others have been asked to answer at once.
+func (v *View) Asking() bool { return !v.asked.IsZero() }
+
 // judgeIsolation takes note of a minority at once, and of a majority after a
 // while, but for a new process, which hears the others for the first time.
 func (v *View) judgeIsolation(now time.Time) {
--- a/internal/decide/leader/view_test.go
+++ b/internal/decide/leader/view_test.go
@@ -262,3 +262,94 @@
 		})
 	}
 }
+
+// TestCutOffAlone guards against an instance that is cut off from all others and
+// takes endpoints on behalf of peers that it has not noticed to be gone yet.
+func TestCutOffAlone(t *testing.T) {
+	is := is.New(t)
+	v := newView(t, 5, "a", 900)
+	dcs := []ident.DataCentre{"a", "a", "b", "b", "c"}
+	now := epoch.Add(time.Second)
+	var members []leader.Member
+	for i, dc := range dcs {
+		v.Up(now, process(i), dc)
+		members = append(members, leader.Member{Instance: process(i).Instance, DataCentre: dc})
+	}
+	cut := now.Add(2 * time.Second)
+	for ; now.Before(cut); now = now.Add(25 * time.Millisecond) {
+		for i := range dcs {
+			if i == 0 || now.Sub(epoch)%(600*time.Millisecond) == 0 {
+				v.Heard(now, process(i), leader.Pulse{Seniority: leader.Seniority(100 + i), Owner: process(0)})
+			}
+		}
+		v.Listed(now, members)
+		v.Tick(now)
+	}
+	lead, _ := v.Owner()
+	is.Equal(lead, process(0))
+	for lead != process(5) && now.Sub(cut) < 5*time.Second {
+		v.Tick(now)
+		lead, _ = v.Owner()
+		now = now.Add(25 * time.Millisecond)
+	}
+	is.True(v.Isolated())
+	is.True(now.Sub(cut) <= time.Second) // the silence, half of it, and a few ticks
+	share := v.Mine(now)
+	mine, others := 0, 0
+	for i := range 300 {
+		id := ident.EndpointID(fmt.Sprint("e-", i))
+		if share(id, "a") {
+			mine++
+		}
+		if share(id, "b") || share(id, "c") {
+			others++
+		}
+	}
+	is.Equal(others, 0)
+	is.True(mine < 150) // one of three instances of its data centre
+}
+
+// TestSuccession guards against a takeover that waits although a majority
+// answers, and against one by an instance that only has lost its link to the
+// owner's data centre.
+func TestSuccession(t *testing.T) {
+	tests := map[string]struct {
+		answers int // of the four others
+		within  time.Duration
+	}{
+		"all answer": {4, 50 * time.Millisecond},
+		"a majority": {3, 50 * time.Millisecond},
+		"a minority": {2, 300 * time.Millisecond},
+		"nobody":     {0, 300 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := newView(t, 1, "a", 200)
+			now := epoch.Add(time.Second)
+			for i := range 6 {
+				if i != 1 {
+					v.Up(now, process(i), "a")
+					v.Heard(now, process(i), leader.Pulse{Seniority: leader.Seniority(100 * (i + 1))})
+				}
+			}
+			v.Tick(now)
+			lead, _ := v.Owner()
+			is.Equal(lead, process(0))
+			v.Down(process(0))
+			down := now
+			for lead != process(1) && now.Sub(down) < time.Second {
+				now = now.Add(25 * time.Millisecond)
+				for i := range tt.answers {
+					if v.Asking() {
+						v.Heard(now, process(i+2), leader.Pulse{Seniority: leader.Seniority(100 * (i + 3)), Owner: process(0)})
+					}
+				}
+				v.Tick(now)
+				lead, _ = v.Owner()
+			}
+			is.Equal(lead, process(1))
+			is.True(now.Sub(down) <= tt.within)
+		})
+	}
+}
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -20,6 +20,7 @@
 			Seniority: int64(m.Seniority), Epoch: m.Epoch, Draining: m.Draining,
 			ListAgeMs: uint32(min(m.ListAge.Milliseconds(), math.MaxUint32)),
 			Owner:     string(m.Owner.Instance), OwnerIncarnation: uint64(m.Owner.Incarnation),
+			Ask:        m.Ask,
 			Processors: uint32(min(max(m.Processors, 0), math.MaxUint32)),
 		}}}
 	case dispatcher.Orders:
@@ -48,6 +49,7 @@
 				},
 			},
 			ListAge: time.Duration(body.Pulse.GetListAgeMs()) * time.Millisecond,
+			Ask:     body.Pulse.GetAsk(),
 		}, true
 	case *peerpb.Message_PlaceOrders:
 		orders, ok := readOrders(body.PlaceOrders)
