--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -36,7 +36,12 @@
 
 func newBench(t *testing.T, endpoints int) *bench {
 	t.Helper()
-	pool, err := owner.New(owner.Config{})
+	return newBenchWith(t, endpoints, owner.Config{})
+}
+
+func newBenchWith(t *testing.T, endpoints int, cfg owner.Config) *bench {
+	t.Helper()
+	pool, err := owner.New(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,7 +62,10 @@
 	}
 	b.list()
 	b.take(pool.Activate(b.now, owner.NewFence(5, 1), func(owner.Endpoint) bool { return true }))
-	b.lookAll()
+	for pool.Stats(b.now).Held < endpoints {
+		b.lookAll()
+		b.take(pool.Tick(b.now))
+	}
 	return b
 }
 
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -169,28 +170,49 @@
 	b.is.Equal(b.endpoints["e-0"].Start(b.now, late).Reply, owner.Fenced)
 }
 
-// TestUnsureNewLife guards against giving up what a new life may run when the
-// endpoint does not answer the next look.
+// TestUnsureNewLife guards against giving up what a new life may run when an
+// earlier look at the endpoint fails and the next one cannot be sent yet.
 func TestUnsureNewLife(t *testing.T) {
-	b := newBench(t, 2)
+	b := newBenchWith(t, 2, owner.Config{MaxProbes: 1})
 	b.place(home1, order("j", 1, 10_000))
-	on := b.starts[0].Endpoint
+	start := b.starts[0]
+	b.starts = nil
 	b.now = b.now.Add(50 * time.Millisecond)
-	b.endpoints[on].Boot(b.now)
-	b.startAll() // the new life takes the start
-	b.pass(10 * time.Millisecond)
-	for _, l := range b.looks {
-		if l.Endpoint == on {
-			out := b.endpoints[on].Look(b.now, l)
-			out.Sent, out.Running = b.now, nil // the list was made before the start
-			b.take(b.pool.Looked(b.now, &out))
+	for _, e := range b.endpoints {
+		e.Boot(b.now)
+	}
+	a := b.endpoints[start.Endpoint].Start(b.now, start) // the new life takes the start
+	b.is.Equal(a.Reply, owner.OK)
+	waiting := b.looks
+	b.looks = nil
+	b.take(b.pool.Answered(b.now, &owner.Answered{Call: start.Number, Reply: owner.Unknown}))
+	b.is.Equal(len(b.looks), 1)
+	early := b.looks[0]
+	b.looks = nil
+	b.now = b.now.Add(10 * time.Millisecond)
+	// The other endpoint's look comes first and takes the only probe.
+	slices.SortFunc(waiting, func(l, o owner.Look) int {
+		if l.Endpoint == start.Endpoint {
+			return 1
 		}
+		return -1
+	})
+	for _, l := range waiting {
+		out := b.endpoints[l.Endpoint].Look(b.now, l)
+		out.Sent, out.Running = b.now, nil // the list was made before the start
+		b.take(b.pool.Looked(b.now, &out))
 	}
-	b.pass(5 * time.Millisecond)
+	b.take(b.pool.Looked(b.now, &owner.Looked{Call: early.Number, Reply: owner.Unknown}))
+	b.is.Equal(b.pool.Stats(b.now).Lost, uint64(0)) // it may run
+	b.list()
 	for _, l := range b.looks {
-		b.take(b.pool.Looked(b.now, &owner.Looked{Call: l.Number, Reply: owner.Unknown}))
+		if l.Endpoint != start.Endpoint {
+			out := b.endpoints[l.Endpoint].Look(b.now, l)
+			out.Sent = b.now
+			b.take(b.pool.Looked(b.now, &out))
+		}
 	}
-	b.pass(5 * time.Millisecond)
+	b.take(b.pool.Tick(b.now))
 	b.is.Equal(len(b.starts), 0)
 }
 
