Keep the instance at work until its open requests are answered

Cause: when a stopped instance closed its caller server, the server's actor returned at once and ended the whole group, its control loop among it; open requests had 3.2 s after SIGTERM (2.2 s of rotation, 1 s of shutdown) instead of the grace period less 0.6 s. TestDrain, with a job of 1.3 s, found it: 502 at 2.5 s. An instance that could not listen also never ended, since the drain waited for a signal. Change: the caller server's actor waits for the drain; the drain ends with the group. Measured: TestDrain and TestAddressInUse fail without either change and pass.

--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -135,11 +135,17 @@
 		MaxHeaderBytes: maxHeader,
 	}
 	ready := &http.Server{Handler: p.ports.Readiness(p.ready), ReadHeaderTimeout: headerTimeout}
-	g.Add(func() error { return p.runDrain(ctx, callers) }, func(error) {})
-	addServer(&g, callers, p.set.CallerAddress)
-	addServer(&g, ready, p.set.ReadinessAddress)
+	leaving, leave := context.WithCancel(ctx)
+	defer leave()
+	drained := make(chan struct{})
+	g.Add(func() error {
+		defer close(drained)
+		return p.runDrain(leaving, callers)
+	}, func(error) { leave() })
+	addServer(&g, callers, p.set.CallerAddress, drained)
+	addServer(&g, ready, p.set.ReadinessAddress, nil)
 	if p.set.MetricsAddress != "" {
-		addServer(&g, p.metricsServer(), p.set.MetricsAddress)
+		addServer(&g, p.metricsServer(), p.set.MetricsAddress, nil)
 	}
 	add := func(f func(context.Context) error) {
 		c, cancel := context.WithCancel(inner)
@@ -155,8 +161,12 @@
 		"incarnation": p.self.Incarnation, "caller-address": p.set.CallerAddress, "store-address": p.set.StoreAddress,
 	}).Info("instance started")
 	err := g.Run()
-	p.log.WithError(err).Info("instance stopped")
-	return err
+	if err != nil {
+		p.log.WithError(err).Error("instance failed")
+		return err
+	}
+	p.log.Info("instance stopped")
+	return nil
 }
 
 const (
@@ -170,7 +180,10 @@
 	shutdownTimeout = time.Second
 )
 
-func addServer(g *run.Group, s *http.Server, address string) {
+// addServer adds a server to a group. A server that is shut down ends the group,
+// unless drained is given, only after that is closed: requests that are still
+// open need the others of the group.
+func addServer(g *run.Group, s *http.Server, address string, drained <-chan struct{}) {
 	g.Add(func() error {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -179,6 +192,9 @@
 		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
 			return fault.Wrap(err, fault.Internal, fault.RanUnknown)
 		}
+		if drained != nil {
+			<-drained
+		}
 		return nil
 	}, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
