Bound the lines of a second, split the leader's file, name things as the field does

Log lines of a process are at most 1,000 a second; further ones are dropped and counted (TestRate fails without). The leader's rank, succession and share have files of their own; what is learned of answers is answerTime, of endpoints' speeds speeds. No decision changes.

--- a/cmd/hornbeamlift/dispatch.go
+++ b/cmd/hornbeamlift/dispatch.go
@@ -63,7 +63,7 @@
 	}
 	set.Clock = clock.System{}
 	set.Log = logrus.New()
-	set.Log.SetOutput(logline.NewWriter(os.Stdout))
+	set.Log.SetOutput(logline.NewWriter(os.Stdout, set.Clock))
 	set.Log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	set.Log.SetLevel(level)
 	debug.SetGCPercent(cmd.Int("gc-percent"))
--- a/internal/adapter/logline/writer_test.go
+++ b/internal/adapter/logline/writer_test.go
@@ -5,10 +5,12 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"hornbeamlift.example/hornbeamlift/internal/adapter/logline"
+	"hornbeamlift.example/hornbeamlift/internal/core/clock"
 )
 
 // blocked is a reader that has stopped reading until it is released.
@@ -43,7 +45,7 @@
 func TestStoppedReader(t *testing.T) {
 	is := is.New(t)
 	to := &blocked{release: make(chan struct{})}
-	w := logline.NewWriter(to)
+	w := logline.NewWriter(to, clock.System{})
 	for range 10_000 {
 		n, err := w.Write([]byte("a line\n"))
 		is.NoErr(err)
@@ -61,7 +63,7 @@
 	is := is.New(t)
 	to := &blocked{release: make(chan struct{})}
 	close(to.release)
-	w := logline.NewWriter(to)
+	w := logline.NewWriter(to, clock.System{})
 	long := []byte(strings.Repeat("x", 1<<20) + "\n")
 	_, err := w.Write(long)
 	is.NoErr(err)
@@ -72,3 +74,34 @@
 	defer to.mu.Unlock()
 	is.True(len(to.lines[0]) <= 4096 && strings.HasSuffix(to.lines[0], "\n"))
 }
+
+// still is a clock that a test sets.
+type still struct {
+	clock.System
+	now time.Time
+}
+
+func (s *still) Now() time.Time { return s.now }
+
+// TestRate guards against logs that grow with the load without bound.
+func TestRate(t *testing.T) {
+	is := is.New(t)
+	to := &blocked{release: make(chan struct{})}
+	close(to.release)
+	clk := &still{now: time.Unix(1_800_000_000, 0)}
+	w := logline.NewWriter(to, clk)
+	write := func(lines int) {
+		for range lines {
+			_, err := w.Write([]byte("a line\n"))
+			is.NoErr(err)
+		}
+	}
+	write(2500)
+	is.Equal(w.Dropped(), uint64(1500))
+	clk.now = clk.now.Add(time.Second)
+	write(1)
+	is.Equal(w.Dropped(), uint64(1500))
+	for to.count("log lines were dropped") == 0 {
+		runtime.Gosched()
+	}
+}
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -6,7 +6,6 @@
 package leader
 
 import (
-	"hash/fnv"
 	"maps"
 	"slices"
 	"strings"
@@ -272,45 +271,6 @@
 	return pulse, silent
 }
 
-// succeed asks the others to answer when the owner is gone. It may have a
-// successor when a majority has answered, or all that are linked; after half the
-// silence, whoever has not is silent too. An instance that is cut off alone thus
-// never takes endpoints on behalf of peers that it no longer hears.
-func (v *View) succeed(now time.Time) (silent []ident.Process) {
-	if v.owner.Instance == "" || v.owner == v.cfg.Self || v.Alive(v.owner) {
-		v.asked = time.Time{}
-		return nil
-	}
-	if v.asked.IsZero() {
-		v.asked = now
-	}
-	late := now.Sub(v.asked) >= v.cfg.Silence/2
-	answered, unheard, all := 1, 0, 1
-	for _, id := range slices.Sorted(maps.Keys(v.peers)) {
-		p := v.peers[id]
-		if v.known(now, p) {
-			all++
-		}
-		switch {
-		case !p.linked:
-		case p.heard.After(v.asked):
-			answered++
-		case late:
-			p.linked, p.pulsed = false, false
-			silent = append(silent, p.process)
-		default:
-			unheard++
-		}
-	}
-	if unheard == 0 || 2*answered > all {
-		v.asked = time.Time{}
-	}
-	return silent
-}
-
-// Asking reports whether the others have been asked to answer at once.
-func (v *View) Asking() bool { return !v.asked.IsZero() }
-
 // judgeIsolation takes note of a minority at once, and of a majority after a
 // while, but for a new process, which hears the others for the first time.
 func (v *View) judgeIsolation(now time.Time) {
@@ -370,61 +330,6 @@
 	return v.cfg.Slow
 }
 
-// strongShare is the part of the strongest instance's processors, in percent,
-// below which an instance leads only when no stronger one can: the owner's load
-// grows with the fleet, while instances differ several times in size.
-const strongShare = 75
-
-// candidate is an instance that may lead.
-type candidate struct {
-	process ident.Process
-	pulse   Pulse
-	weak    bool
-}
-
-// before reports whether c leads rather than o.
-func (c *candidate) before(o *candidate) bool {
-	switch {
-	case c.pulse.Draining != o.pulse.Draining:
-		return !c.pulse.Draining
-	case c.weak != o.weak:
-		return !c.weak
-	case c.pulse.Seniority != o.pulse.Seniority:
-		return c.pulse.Seniority < o.pulse.Seniority
-	}
-	return c.process.Instance < o.process.Instance
-}
-
-// rank returns the most senior of the strong instances that may lead, and its
-// successor. When all are draining, one of them leads.
-func (v *View) rank() (first, second ident.Process) {
-	rows := []candidate{{process: v.cfg.Self, pulse: v.Own()}}
-	for _, p := range v.peers {
-		if p.linked && p.pulsed {
-			rows = append(rows, candidate{process: p.process, pulse: p.pulse})
-		}
-	}
-	var strongest int64
-	for _, r := range rows {
-		if !r.pulse.Draining {
-			strongest = max(strongest, r.pulse.Processors)
-		}
-	}
-	for i := range rows {
-		rows[i].weak = rows[i].pulse.Processors*100 < strongest*strongShare
-	}
-	slices.SortFunc(rows, func(a, b candidate) int {
-		if a.before(&b) {
-			return -1
-		}
-		return 1
-	})
-	if len(rows) > 1 {
-		second = rows[1].process
-	}
-	return rows[0].process, second
-}
-
 // known reports whether an instance counts as part of the fleet.
 func (v *View) known(now time.Time, p *peer) bool {
 	switch {
@@ -435,66 +340,3 @@
 	}
 	return now.Sub(p.listed) <= v.cfg.Forget || now.Sub(p.heard) <= v.cfg.Forget
 }
-
-// minority reports whether this instance hears less than half of the fleet,
-// itself included. Of two halves, the one with the lowest instance id counts as
-// the larger.
-func (v *View) minority(now time.Time) bool {
-	heard, all := 1, 1
-	lowest, lowestHeard := v.cfg.Self.Instance, true
-	for id, p := range v.peers {
-		if !v.known(now, p) {
-			continue
-		}
-		all++
-		if p.linked {
-			heard++
-		}
-		if id < lowest {
-			lowest, lowestHeard = id, p.linked
-		}
-	}
-	return 2*heard < all || (2*heard == all && !lowestHeard)
-}
-
-// Whole reports whether every instance of the fleet is heard and follows this
-// one, so that no other owner can be alive.
-func (v *View) Whole(now time.Time) bool {
-	for _, p := range v.peers {
-		if v.known(now, p) && (!p.linked || p.pulse.Owner != v.cfg.Self) {
-			return false
-		}
-	}
-	return true
-}
-
-// Mine returns what this instance may own as the leader: everything, or, while
-// it is isolated, the share of its data centre's endpoints that its side has of
-// the data centre's instances.
-func (v *View) Mine(now time.Time) func(id ident.EndpointID, dc ident.DataCentre) bool {
-	if !v.isolated {
-		return func(ident.EndpointID, ident.DataCentre) bool { return true }
-	}
-	type side struct{ heard, all uint32 }
-	sides := map[ident.DataCentre]side{v.cfg.DataCentre: {1, 1}}
-	for _, p := range v.peers {
-		if !v.known(now, p) {
-			continue
-		}
-		s := sides[p.dataCentre]
-		s.all++
-		if p.linked {
-			s.heard++
-		}
-		sides[p.dataCentre] = s
-	}
-	return func(id ident.EndpointID, dc ident.DataCentre) bool {
-		s := sides[dc]
-		if s.heard == 0 {
-			return false
-		}
-		h := fnv.New32a()
-		_, _ = h.Write([]byte(id))
-		return h.Sum32()%s.all < s.heard
-	}
-}
--- a/internal/decide/owner/patience.go
+++ b/internal/decide/owner/answertime.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// patience learns how long calls to endpoints take, as this process sees it, and
+// answerTime learns how long calls to endpoints take, as this process sees it, and
 // so how long an answer may take before it counts as lost.
-type patience struct {
+type answerTime struct {
 	mean      time.Duration
 	deviation time.Duration
 }
@@ -20,19 +20,19 @@
 )
 
 // learn takes the time of a call that was answered.
-func (l *patience) learn(took time.Duration) {
-	if l.mean == 0 {
-		l.mean, l.deviation = took, took/2
+func (a *answerTime) learn(took time.Duration) {
+	if a.mean == 0 {
+		a.mean, a.deviation = took, took/2
 		return
 	}
-	l.deviation += ((took - l.mean).Abs() - l.deviation) / deviationShare
-	l.mean += (took - l.mean) / meanShare
+	a.deviation += ((took - a.mean).Abs() - a.deviation) / deviationShare
+	a.mean += (took - a.mean) / meanShare
 }
 
 // limit returns how long an answer may take.
-func (l *patience) limit(cfg *Config) time.Duration {
-	if l.mean == 0 {
+func (a *answerTime) limit(cfg *Config) time.Duration {
+	if a.mean == 0 {
 		return cfg.AnswerMax
 	}
-	return min(max(l.mean+deviations*l.deviation, cfg.AnswerMin), cfg.AnswerMax)
+	return min(max(a.mean+deviations*a.deviation, cfg.AnswerMin), cfg.AnswerMax)
 }
--- a/internal/decide/owner/patience_test.go
+++ b/internal/decide/owner/answertime_test.go
@@ -10,9 +10,9 @@
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 )
 
-// TestPatience guards against lost answers that hold up tasks far longer than
+// TestAnswerTime guards against lost answers that hold up tasks far longer than
 // answers take, and against answers that are given up though they come.
-func TestPatience(t *testing.T) {
+func TestAnswerTime(t *testing.T) {
 	defaults := owner.Config{}.Defaults()
 	tests := map[string]struct {
 		took  []time.Duration
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -107,8 +107,8 @@
 	return list
 }
 
-// most returns the most that is free of each resource on any of the endpoints.
-func most(usable []*endpoint) job.Room {
+// mostFree returns the most that is free of each resource on any of the endpoints.
+func mostFree(usable []*endpoint) job.Room {
 	var m job.Room
 	for _, e := range usable {
 		free := e.free()
@@ -120,7 +120,7 @@
 // startRange chooses endpoints for tasks in order and occupies their room.
 func (p *Pool) startRange(now time.Time, tasks []*task, usable *[]*endpoint) []*task {
 	var chosen []*task
-	seen, free := p.seenSince(), most(*usable)
+	seen, free := p.seenSince(), mostFree(*usable)
 	p.round++
 	for _, t := range tasks {
 		if len(*usable) == 0 {
@@ -143,7 +143,7 @@
 		if e.free().CPU <= 0 || e.onTrial() {
 			*usable = slices.DeleteFunc(*usable, func(o *endpoint) bool { return o == e })
 		}
-		free = most(*usable)
+		free = mostFree(*usable)
 	}
 	return chosen
 }
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -178,10 +178,10 @@
 func (p *Pool) kindOf(e *endpoint) *speed {
 	if e.like == nil {
 		k := likeness{dataCentre: e.DataCentre, kind: e.Kind}
-		if p.kinds[k] == nil {
-			p.kinds[k] = &speed{ratio: 1}
+		if p.speeds[k] == nil {
+			p.speeds[k] = &speed{ratio: 1}
 		}
-		e.like = p.kinds[k]
+		e.like = p.speeds[k]
 	}
 	return e.like
 }
--- a/internal/decide/owner/kind.go
+++ b/internal/decide/owner/kind.go
@@ -34,13 +34,13 @@
 		return &kind{}
 	}
 	id := kindID{service: service, label: needs.RequiredLabel}
-	k := p.kindsOf[id]
+	k := p.kinds[id]
 	if k == nil {
-		if len(p.kindsOf) >= maxKinds {
-			clear(p.kindsOf)
+		if len(p.kinds) >= maxKinds {
+			clear(p.kinds)
 		}
 		k = &kind{}
-		p.kindsOf[id] = k
+		p.kinds[id] = k
 	}
 	return k
 }
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -37,7 +37,7 @@
 	number    uint64
 	// unsteady counts the endpoints that lately failed to answer a look.
 	unsteady int
-	patience patience
+	answers  answerTime
 	// probes counts the looks under way at endpoints that are not held.
 	probes int
 	// glancedAt is when all endpoints were last looked at for tasks of another
@@ -47,11 +47,11 @@
 	ends      map[ident.Process][]job.End
 	out       []Action
 	stats     Stats
-	// kindsOf holds the kinds of batches, and round counts the searches.
-	kindsOf map[kindID]*kind
-	round   uint64
-	// kinds learns the ratio of run time to estimate over like endpoints.
-	kinds map[likeness]*speed
+	// kinds holds the kinds of batches, and round counts the searches.
+	kinds map[kindID]*kind
+	round uint64
+	// speeds learns the ratio of run time to estimate over like endpoints.
+	speeds map[likeness]*speed
 }
 
 // pending is a call that is not answered yet: a look at an endpoint, or an order
@@ -87,8 +87,8 @@
 	p.inherited = map[job.Key]inherited{}
 	p.calls = map[uint64]pending{}
 	p.ends = map[ident.Process][]job.End{}
-	p.kinds = map[likeness]*speed{}
-	p.kindsOf = map[kindID]*kind{}
+	p.speeds = map[likeness]*speed{}
+	p.kinds = map[kindID]*kind{}
 	p.probes, p.glancedAt, p.glanceDue = 0, time.Time{}, false
 	for _, e := range p.endpoints {
 		e.forget()
@@ -216,7 +216,7 @@
 func (p *Pool) call(e *endpoint) Call {
 	p.number++
 	return Call{
-		Number: p.number, Endpoint: e.ID, Address: e.Address, Fence: e.fence, Timeout: p.patience.limit(&p.cfg),
+		Number: p.number, Endpoint: e.ID, Address: e.Address, Fence: e.fence, Timeout: p.answers.limit(&p.cfg),
 	}
 }
 
--- a/internal/decide/owner/start.go
+++ b/internal/decide/owner/start.go
@@ -15,7 +15,7 @@
 		return nil
 	}
 	if a.Reply != Unknown && a.Reply != NotSent && !c.sent.IsZero() {
-		p.patience.learn(now.Sub(c.sent))
+		p.answers.learn(now.Sub(c.sent))
 	}
 	t := r.task
 	if a.Clock > 0 && a.Clock > r.endpoint.clock {
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -191,12 +191,9 @@
 	b.looks = nil
 	b.now = b.now.Add(10 * time.Millisecond)
 	// The other endpoint's look comes first and takes the only probe.
-	slices.SortFunc(waiting, func(l, o owner.Look) int {
-		if l.Endpoint == start.Endpoint {
-			return 1
-		}
-		return -1
-	})
+	if waiting[0].Endpoint == start.Endpoint {
+		slices.Reverse(waiting)
+	}
 	for _, l := range waiting {
 		out := b.endpoints[l.Endpoint].Look(b.now, l)
 		out.Sent, out.Running = b.now, nil // the list was made before the start
