--- a/internal/adapter/logread/life.go
+++ b/internal/adapter/logread/life.go
@@ -177,7 +177,7 @@
 				l.Text("run"), l.Text("task"), l.Text("endpoint"), l.Text("event"), l.Text("age"), l.Text("seen")))
 		}
 	}
-	return append(out, f.belief(a.At))
+	return append(out, f.belief(a))
 }
 
 // lost explains a job that was taken and has no answer.
@@ -192,17 +192,34 @@
 	return append(out, "its home has no line of a start since: it is gone, it still runs, or its lines are missing")
 }
 
-// belief tells the newest state of an owner before a time.
-func (f *Life) belief(at time.Time) string {
+// owner returns the instance that the home followed when it answered.
+func (f *Life) owner(answered *Line) string {
+	owner := ""
+	if taken := f.last(messageTaken); taken != nil {
+		owner = taken.Text("owner")
+	}
+	for i := range f.around {
+		l := &f.around[i]
+		if next := l.Text("owner"); next != "" && l.Instance == answered.Instance && !l.At.After(answered.At) {
+			owner = next
+		}
+	}
+	return owner
+}
+
+// belief tells the newest state of the owner that the home followed when it
+// answered.
+func (f *Life) belief(answered *Line) string {
+	at, owner := answered.At, f.owner(answered)
 	for i := len(f.around) - 1; i >= 0; i-- {
 		l := &f.around[i]
-		if l.Message == messageState && !l.At.After(at) && at.Sub(l.At) <= stateAge && l.Text("held") != "0" {
+		if l.Message == messageState && l.Instance == owner && !l.At.After(at) && at.Sub(l.At) <= stateAge {
 			return fmt.Sprintf("%s owned the endpoints %v before: %s of %s usable, %s resting, %s tasks waiting, %s running, list %s old",
 				l.Instance, at.Sub(l.At).Round(time.Millisecond), l.Text("usable"), l.Text("endpoints"), l.Text("resting"),
 				l.Text("waiting"), l.Text("running"), l.Text("list-age"))
 		}
 	}
-	return "no owner of the endpoints tells its state at that time"
+	return "its home followed " + owner + " as the owner of the endpoints, which tells no state of that time"
 }
 
 // slowest returns the end that waited and ran longest, of ends as the home
--- a/internal/adapter/logread/life_test.go
+++ b/internal/adapter/logread/life_test.go
@@ -22,6 +22,12 @@
 {"instance":"entry-2","msg":"job taken","time":"2026-01-01T10:00:02.100Z","job":"c3","owner":"entry-1","tasks":2,"deadline":"500ms"}
 {"instance":"entry-2","msg":"job answered","time":"2026-01-01T10:00:02.600Z","job":"c3","result":"refused","open":"500ms","target":"145ms","reason":"the owner refused a task","ends":"c3.0.0.0/0 refused  waited 500ms ran 0s"}
 {"instance":"entry-2","msg":"job rejected","time":"2026-01-01T10:00:02.650Z","job":"d4","reason":"bad-field (steps): too many"}
+{"instance":"entry-2","msg":"another instance owns the endpoints","time":"2026-01-01T10:00:05.000Z","owner":"entry-4"}
+{"instance":"entry-2","msg":"job taken","time":"2026-01-01T10:00:08.000Z","job":"g7","owner":"entry-1","tasks":2,"deadline":"500ms"}
+{"instance":"entry-2","msg":"another instance owns the endpoints","time":"2026-01-01T10:00:08.200Z","owner":"entry-4"}
+{"instance":"entry-1","msg":"state of the owner","time":"2026-01-01T10:00:08.300Z","endpoints":48,"usable":7,"held":7,"list-age":"1s"}
+{"instance":"entry-4","msg":"state of the owner","time":"2026-01-01T10:00:08.400Z","endpoints":48,"usable":41,"held":41,"list-age":"1s"}
+{"instance":"entry-2","msg":"job answered","time":"2026-01-01T10:00:08.500Z","job":"g7","result":"overdue","open":"500ms","target":"145ms","reason":"the deadline passed","ends":""}
 {"instance":"entry-2","msg":"job taken","time":"2026-01-01T10:00:07.000Z","job":"e5","owner":"entry-1","tasks":2,"deadline":"500ms"}
 `
 
@@ -45,10 +51,13 @@
 		"refused": {"c3", true, []string{
 			"refused after 500ms, the target was 145ms: the owner refused a task", "entry-1 owned the endpoints 310ms before",
 		}, nil},
-		"rejected":        {"d4", true, []string{"refused before anything started: bad-field (steps): too many"}, nil},
-		"no sign of it":   {"e5", true, []string{"it is gone, it still runs, or its lines are missing"}, nil},
-		"unknown":         {"f6", false, []string{"no line of 11 names f6"}, nil},
-		"part of another": {"a", false, []string{"no line of 11 names a"}, nil},
+		"rejected":      {"d4", true, []string{"refused before anything started: bad-field (steps): too many"}, nil},
+		"no sign of it": {"e5", true, []string{"it is gone, it still runs, or its lines are missing"}, nil},
+		"another owner": {"g7", true, []string{
+			"overdue after 500ms", "no task of it had ended", "entry-4 owned the endpoints 100ms before: 41 of 48 usable",
+		}, nil},
+		"unknown":         {"f6", false, []string{"no line of 17 names f6"}, nil},
+		"part of another": {"a", false, []string{"no line of 17 names a"}, nil},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// passWithout lets time go by until something starts, or for d. One endpoint
+// answers no look.
+func (b *bench) passWithout(silent ident.EndpointID, d time.Duration) {
+	for end := b.now.Add(d); len(b.starts) == 0 && b.now.Before(end); {
+		b.pass(20 * time.Millisecond)
+		looks := b.looks
+		b.looks = nil
+		for _, l := range looks {
+			out := owner.Looked{Call: l.Number, Reply: owner.Unknown}
+			if l.Endpoint != silent {
+				out = b.endpoints[l.Endpoint].Look(b.now, l)
+			}
+			out.Sent = b.now
+			b.take(b.pool.Looked(b.now, &out))
+		}
+	}
+}
+
 // startAll carries out the starts that wait.
 func (b *bench) startAll() {
 	starts := b.starts
@@ -227,20 +245,7 @@
 	b.place(home1, order("j", 1, 10_000))
 	silent := b.starts[0].Endpoint
 	b.startAll()
-	begun := b.now
-	for len(b.starts) == 0 && b.now.Sub(begun) < 5*time.Second {
-		b.pass(20 * time.Millisecond)
-		looks := b.looks
-		b.looks = nil
-		for _, l := range looks {
-			out := owner.Looked{Call: l.Number, Reply: owner.Unknown}
-			if l.Endpoint != silent {
-				out = b.endpoints[l.Endpoint].Look(b.now, l)
-			}
-			out.Sent = b.now
-			b.take(b.pool.Looked(b.now, &out))
-		}
-	}
+	b.passWithout(silent, 5*time.Second)
 	b.is.Equal(len(b.ends), 1) // the deadline of 1.5 s passes first
 	b.is.Equal(b.ends[0].Outcome, job.Overdue)
 }
@@ -255,19 +260,7 @@
 	silent := b.starts[0].Endpoint
 	b.startAll()
 	begun := b.now
-	for len(b.starts) == 0 && b.now.Sub(begun) < 10*time.Second {
-		b.pass(20 * time.Millisecond)
-		looks := b.looks
-		b.looks = nil
-		for _, l := range looks {
-			out := owner.Looked{Call: l.Number, Reply: owner.Unknown}
-			if l.Endpoint != silent {
-				out = b.endpoints[l.Endpoint].Look(b.now, l)
-			}
-			out.Sent = b.now
-			b.take(b.pool.Looked(b.now, &out))
-		}
-	}
+	b.passWithout(silent, 10*time.Second)
 	b.is.Equal(len(b.starts), 1)
 	b.is.True(b.starts[0].Endpoint != silent)
 	// The longest lease, the share that a clock may be slow, the time in which
