--- a/internal/decide/instance/limits_test.go
+++ b/internal/decide/instance/limits_test.go
@@ -383,3 +383,20 @@
 		})
 	}
 }
+
+// TestGranterHome guards against a peer that gets no units for ten seconds when
+// the job's home is the granter, whose early write came before the peer's first
+// request.
+func TestGranterHome(t *testing.T) {
+	for after := time.Duration(0); after < 2*time.Second; after += 20 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			is := is.New(t)
+			f := newLimited(t, 1, 2, 96, 0)
+			f.run(after)
+			home, others := f.granter()
+			f.submit(home, f.newSubmission(home, sheetPress, "shop", 300, time.Minute))
+			f.run(2 * time.Second) // one regular interval of requests for units
+			is.True(others[0].core.Counters().Starts > 0)
+		})
+	}
+}
