Ask for more than is wanted in an early write of shares

Cause: TestGranterHome: when the job's home is the granter, its early write comes before its peer's first request and holds its own wants only; the next write is ten seconds later. Ruled out: more early writes (they break TestEarlyWritesAreBounded). Change: a write before its time asks for twice the running units that are wanted; what nobody uses goes back as before.

--- a/internal/decide/quota/granter.go
+++ b/internal/decide/quota/granter.go
@@ -156,6 +156,9 @@
 	g.seeTicks(now, own.Ticks)
 	g.attempt++
 	want, keep := g.totals(now)
+	if now.Before(g.renewAt) {
+		g.addHeadroom(want)
+	}
 	d := Demand{Granter: g.self, Attempt: g.attempt, Limits: g.limits, Want: want, Keep: keep}
 	d.Tick = now.Sub(g.tickSeen) >= RenewEvery
 	next, granted := Rebalance(r, g.dataCentre, d, now)
@@ -181,6 +184,17 @@
 	return next, g.attempt
 }
 
+// addHeadroom doubles the running units that are wanted. A write before its time
+// comes when instances begin to want units, one after the other, and the next
+// one may be RenewEvery later.
+func (g *Granter) addHeadroom(want map[LimitName]Count) {
+	for name, n := range want {
+		if !g.byName[name].PerHour {
+			want[name] = 2 * n
+		}
+	}
+}
+
 // Confirm tells that the write of the attempt has taken effect. When a write's
 // reply is lost, the next call of Propose finds out from the record. Writes
 // proposed later cannot take effect any more, since they are based on a record
