--- a/internal/adapter/logline/writer.go
+++ b/internal/adapter/logline/writer.go
@@ -11,8 +11,8 @@
 )
 
 // Writer passes lines on from a goroutine of its own. Lines that find the
-// backlog full, or the number of a second reached, are dropped and counted. Write
-// is called by one goroutine at a time, as loggers do.
+// backlog full, or the number of a second reached, are dropped and counted.
+// Write is called by one goroutine at a time, as loggers do.
 type Writer struct {
 	clock clock.Clock
 	// second is the one that count lines were taken in.
--- a/internal/decide/instance/limits_test.go
+++ b/internal/decide/instance/limits_test.go
@@ -369,8 +369,8 @@
 
 // TestPeerHelpsSoon guards against a peer that gets units only at the granter's
 // next write, ten seconds later, because its request came just after an early
-// write. Whether it does depends on when the job comes. The demo's job takes about
-// a second.
+// write. Whether it does depends on when the job comes. The demo's job takes
+// about a second.
 func TestPeerHelpsSoon(t *testing.T) {
 	for after := time.Duration(0); after < 2*time.Second; after += 50 * time.Millisecond {
 		t.Run(after.String(), func(t *testing.T) {
--- a/internal/decide/owner/answertime.go
+++ b/internal/decide/owner/answertime.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// answerTime learns how long calls to endpoints take, as this process sees it, and
-// so how long an answer may take before it counts as lost.
+// answerTime learns how long calls to endpoints take, as this process sees it,
+// and so how long an answer may take before it counts as lost.
 type answerTime struct {
 	mean      time.Duration
 	deviation time.Duration
--- a/internal/decide/owner/backlog_test.go
+++ b/internal/decide/owner/backlog_test.go
@@ -37,7 +37,8 @@
 }
 
 // TestBacklogCost guards against an owner that spends its processor time on
-// waiting tasks that cannot start, so that it falls behind and is taken for dead.
+// waiting tasks that cannot start, so that it falls behind and is taken for
+// dead.
 func TestBacklogCost(t *testing.T) {
 	tests := map[string]struct {
 		// refused is the share of starts that every eighth endpoint refuses, and
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -107,7 +107,7 @@
 	return list
 }
 
-// mostFree returns the most that is free of each resource on any of the endpoints.
+// mostFree returns the most that is free of each resource on any endpoint.
 func mostFree(usable []*endpoint) job.Room {
 	var m job.Room
 	for _, e := range usable {
@@ -158,7 +158,7 @@
 		if !p.allowed(b, e) {
 			continue
 		}
-		ratio := e.speed.over(p.kindOf(e))
+		ratio := e.speed.over(p.likeSpeed(e))
 		if p.far(b, e) {
 			ratio *= p.cfg.FarFactor
 		}
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -174,8 +174,8 @@
 	kind       string
 }
 
-// kindOf returns what is known of endpoints like e.
-func (p *Pool) kindOf(e *endpoint) *speed {
+// likeSpeed returns what is known of endpoints like e.
+func (p *Pool) likeSpeed(e *endpoint) *speed {
 	if e.like == nil {
 		k := likeness{dataCentre: e.DataCentre, kind: e.Kind}
 		if p.speeds[k] == nil {
--- a/internal/decide/owner/look.go
+++ b/internal/decide/owner/look.go
@@ -246,7 +246,7 @@
 	}
 	ratio := float64(ran) / expected
 	e.speed.learn(ratio)
-	p.kindOf(e).learn(ratio)
+	p.likeSpeed(e).learn(ratio)
 }
 
 // rest pauses an endpoint that fails what it starts.
--- a/internal/decide/owner/stall.go
+++ b/internal/decide/owner/stall.go
@@ -45,7 +45,7 @@
 	if t == nil || r.phase != running || r.percent >= stallPercent || t.restarts >= maxRestarts {
 		return false
 	}
-	expected := time.Duration(float64(t.batch.needs.Estimate) * r.endpoint.speed.over(p.kindOf(r.endpoint)))
+	expected := time.Duration(float64(t.batch.needs.Estimate) * r.endpoint.speed.over(p.likeSpeed(r.endpoint)))
 	if p.far(t.batch, r.endpoint) {
 		expected = time.Duration(float64(expected) * p.cfg.FarFactor)
 	}
