--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -1,9 +1,8 @@
 // Package leader decides which instance owns the endpoints. There is no
 // election: each instance follows the most senior one that it hears, of those
-// with enough processors. Fences at
-// the endpoints keep two owners from doing harm while views differ, and an
-// instance that hears only a minority of the fleet owns no more than its share
-// of its own data centre's endpoints.
+// with enough processors. Fences at the endpoints keep two owners from doing
+// harm while views differ, and an instance that hears only a minority of the
+// fleet owns no more than its share of its own data centre's endpoints.
 package leader
 
 import (
