--- a/internal/adapter/httpcall/client_test.go
+++ b/internal/adapter/httpcall/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -96,9 +97,11 @@
 // and against a failure that comes later than its time limit.
 func TestFailures(t *testing.T) {
 	hang := make(chan struct{})
+	var arrived atomic.Int64
 	s, _ := server(t, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/hang":
+			arrived.Add(1)
 			select {
 			case <-hang:
 			case <-r.Context().Done():
@@ -146,11 +149,14 @@
 	})
 	t.Run("all connections in use", func(t *testing.T) {
 		is := is.New(t)
+		arrived.Store(0)
 		c := newClient(s.URL, clock.System{})
 		for range 2 {
 			go func() { _, _ = c.Do(context.Background(), time.Second, httpcall.Call{Method: "GET", Path: "/hang"}) }()
 		}
-		time.Sleep(50 * time.Millisecond)
+		for arrived.Load() < 2 {
+			runtime.Gosched()
+		}
 		_, err := c.Do(context.Background(), 50*time.Millisecond, httpcall.Call{Method: "GET", Path: "/"})
 		is.True(err != nil)
 		is.Equal(fault.From(err).Ran, fault.RanNo)
