--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -16,6 +16,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
+	"hornbeamlift.example/hornbeamlift/internal/decide/listing"
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 )
 
@@ -29,10 +30,8 @@
 	// it must stay well below the time after which a caller submits a lost job
 	// again, so Validate requires less than a second.
 	LinkGrace time.Duration
-	// MaxListAge is the age above which the owner's list of endpoints is stale,
-	// so that the other instances read it from the store and send it to the
-	// owner.
-	MaxListAge time.Duration
+	// Listing configures the exchange of the list of endpoints.
+	Listing listing.Config
 	// FenceNonce is a random number in the fences of this process, which makes
 	// them differ from those of other processes.
 	FenceNonce uint32
@@ -43,9 +42,6 @@
 	if c.LinkGrace == 0 {
 		c.LinkGrace = 250 * time.Millisecond
 	}
-	if c.MaxListAge == 0 {
-		c.MaxListAge = 1500 * time.Millisecond
-	}
 	return c
 }
 
@@ -60,11 +56,11 @@
 
 // Action is an action for the caller of a Core to carry out: an owner.Poll,
 // owner.Start, owner.Stop or owner.RunEvent, a home.Answer, or a Send,
-// CloseLink, OwnerChanged or IsolationChanged.
+// CloseLink, ReadEndpoints, OwnerChanged or IsolationChanged.
 type Action any
 
-// Send sends a message to a process: a Heartbeat, Orders, Withdrawal, TaskEnds
-// or EndpointList.
+// Send sends a message to a process: a Heartbeat, Orders, Withdrawal, TaskEnds,
+// listing.Snapshot or listing.Changes.
 type Send struct {
 	To ident.Process
 	// Urgent messages are sent before the others.
@@ -75,8 +71,11 @@
 // Heartbeat is a heartbeat of the sender.
 type Heartbeat struct {
 	leader.Heartbeat
-	// ListAge is the age of the sender's list of endpoints.
+	// ListAge is the age of the sender's list of endpoints, listing.NoList
+	// without one.
 	ListAge time.Duration
+	// ReadList asks the receiver to read the list of endpoints and send it.
+	ReadList bool
 	// RequestReply makes the receiver answer at once with a heartbeat of its
 	// own.
 	RequestReply bool
@@ -91,15 +90,12 @@
 // TaskEnds reports ends of tasks to the home of their job.
 type TaskEnds []job.TaskEnd
 
-// EndpointList holds the list of endpoints that the sender has, and its age.
-type EndpointList struct {
-	Endpoints []owner.Endpoint
-	Age       time.Duration
-}
-
 // CloseLink asks to close the link to a process that has timed out.
 type CloseLink struct{ Peer ident.Process }
 
+// ReadEndpoints asks to read the list of endpoints from the store at once.
+type ReadEndpoints struct{}
+
 // OwnerChanged reports a change of the owner of the endpoints as this instance
 // sees it. Own is set if the owner is this instance.
 type OwnerChanged struct {
@@ -129,14 +125,8 @@
 	reclaimAt time.Time
 	isolated  bool
 	lastOwner ident.Process
-	endpoints []owner.Endpoint
-	// endpointsReadAt is when endpoints was read from the store, by this
-	// instance or by the peer that sent it.
-	endpointsReadAt time.Time
-	// ownerListAge is the age of the owner's list of endpoints in its last
-	// heartbeat.
-	ownerListAge time.Duration
-	pending      []Action
+	list      *listing.List
+	pending   []Action
 }
 
 // New returns the core of a process that starts now. It returns an error when
@@ -146,7 +136,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	c := &Core{cfg: cfg, self: cfg.Leader.Self, jobs: home.New(), lostPeers: map[ident.Process]time.Time{}}
+	c := &Core{cfg: cfg, self: cfg.Leader.Self, jobs: home.New(), lostPeers: map[ident.Process]time.Time{}, list: listing.New(cfg.Listing)}
 	var err error
 	if c.view, err = leader.New(now, cfg.Leader, seniority); err != nil {
 		return nil, err
@@ -273,16 +263,28 @@
 
 // heartbeat sends a heartbeat to processes.
 func (c *Core) heartbeat(now time.Time, to []ident.Process) {
+	m := c.ownHeartbeat(now)
+	m.RequestReply = c.view.CheckingPeers()
+	var helpers []ident.Process
+	if c.pool.Active() {
+		helpers = c.list.SelectHelpers(now, c.view.Peers())
+	}
 	for _, process := range to {
-		c.pending = append(c.pending, Send{To: process, Urgent: true, Message: Heartbeat{Heartbeat: c.view.OwnHeartbeat(), ListAge: now.Sub(c.endpointsReadAt), RequestReply: c.view.CheckingPeers()}})
+		m.ReadList = slices.Contains(helpers, process)
+		c.pending = append(c.pending, Send{To: process, Urgent: true, Message: m})
 	}
 }
 
+func (c *Core) ownHeartbeat(now time.Time) Heartbeat {
+	return Heartbeat{Heartbeat: c.view.OwnHeartbeat(), ListAge: c.list.Age(now)}
+}
+
 // handlePeerLost handles the end of a link or the timeout of a peer. The tasks
 // of its jobs are withdrawn after grace, unless it has linked again by then.
 func (c *Core) handlePeerLost(now time.Time, process ident.Process, grace time.Duration) {
 	c.view.HandleLinkDown(process)
 	c.jobs.HandleLinkDown(process)
+	c.list.HandleLinkDown(process)
 	c.lostPeers[process] = now.Add(grace)
 }
 
@@ -292,9 +294,7 @@
 	delete(c.lostPeers, process)
 	c.heartbeat(now, []ident.Process{process})
 	c.reclaimAt = now.Add(reclaimDelay)
-	if c.pool.Active() && len(c.endpoints) > 0 {
-		c.pending = append(c.pending, Send{To: process, Message: c.endpointListMessage(now)})
-	}
+	c.list.HandleLinkUp(now, process)
 	return c.flush()
 }
 
@@ -318,11 +318,9 @@
 	case Heartbeat:
 		c.view.HandleHeartbeat(now, from, m.Heartbeat)
 		if m.RequestReply {
-			c.pending = append(c.pending, Send{To: from, Urgent: true, Message: Heartbeat{Heartbeat: c.view.OwnHeartbeat(), ListAge: now.Sub(c.endpointsReadAt)}})
-		}
-		if ownerProcess, known := c.view.Owner(); known && ownerProcess == from {
-			c.ownerListAge = m.ListAge
+			c.pending = append(c.pending, Send{To: from, Urgent: true, Message: c.ownHeartbeat(now)})
 		}
+		c.exchangeList(now, from, m)
 		if m.Owner.Instance != "" && m.Owner != c.self {
 			// The sender has placed its tasks at another owner.
 			c.applyPoolActions(now, c.pool.WithdrawTasksOf(from))
@@ -337,10 +335,13 @@
 		c.applyPoolActions(now, c.pool.Withdraw(from, job.ID(m)))
 	case TaskEnds:
 		c.applyJobActions(now, c.jobs.HandleEnds(now, from, m))
-	case EndpointList:
-		if at := now.Add(-m.Age); at.After(c.endpointsReadAt) {
-			c.endpoints, c.endpointsReadAt = m.Endpoints, at
-			c.applyPoolActions(now, c.pool.SetEndpoints(now, c.endpointsReadAt, c.endpoints))
+	case listing.Snapshot:
+		if c.list.Receive(now, m) {
+			c.updateEndpoints(now)
+		}
+	case listing.Changes:
+		if c.list.Apply(now, m) {
+			c.updateEndpoints(now)
 		}
 	}
 	return c.flush()
@@ -385,44 +386,6 @@
 	return c.flush()
 }
 
-// NeedsEndpoints reports whether this instance should read the list of
-// endpoints from the store. The owner always reads it. Others read it while no
-// owner is known, the owner's list is stale or they have no list themselves.
-func (c *Core) NeedsEndpoints() bool {
-	ownerProcess, known := c.view.Owner()
-	return !known || ownerProcess == c.self || c.ownerListAge > c.cfg.MaxListAge || len(c.endpoints) == 0
-}
-
-// UpdateEndpoints sets the list of endpoints that was read from the store, and
-// reports whether it differs from the previous one. The owner sends a changed
-// list to its peers. Other instances send the list to an owner whose own list
-// is stale.
-func (c *Core) UpdateEndpoints(now time.Time, endpoints []owner.Endpoint) (actions []Action, changed bool) {
-	changed = !slices.EqualFunc(endpoints, c.endpoints, sameEndpoint)
-	c.endpoints, c.endpointsReadAt = endpoints, now
-	c.applyPoolActions(now, c.pool.SetEndpoints(now, now, endpoints))
-	ownerProcess, known := c.view.Owner()
-	switch {
-	case known && ownerProcess == c.self && changed:
-		for _, peer := range c.view.Peers() {
-			c.pending = append(c.pending, Send{To: peer, Message: c.endpointListMessage(now)})
-		}
-	case known && ownerProcess != c.self && c.ownerListAge > c.cfg.MaxListAge:
-		c.pending = append(c.pending, Send{To: ownerProcess, Message: c.endpointListMessage(now)})
-	}
-	return c.flush(), changed
-}
-
-func (c *Core) endpointListMessage(now time.Time) EndpointList {
-	return EndpointList{Endpoints: c.endpoints, Age: now.Sub(c.endpointsReadAt)}
-}
-
-// sameEndpoint does not compare Kind and Rack, which are taken from Labels.
-func sameEndpoint(a, b owner.Endpoint) bool {
-	return a.ID == b.ID && a.Address == b.Address && a.Draining == b.Draining && a.Incarnation == b.Incarnation && a.Room == b.Room &&
-		a.Service == b.Service && a.DataCentre == b.DataCentre && slices.Equal(a.Labels, b.Labels)
-}
-
 // OwnerKnown reports whether an owner of the endpoints is known.
 func (c *Core) OwnerKnown() bool {
 	_, known := c.view.Owner()
@@ -449,7 +412,7 @@
 // Stats returns the counters of this instance's pool, and the age of the list
 // of endpoints.
 func (c *Core) Stats(now time.Time) (owner.Stats, time.Duration) {
-	return c.pool.Stats(now), now.Sub(c.endpointsReadAt)
+	return c.pool.Stats(now), c.list.Age(now)
 }
 
 // applyJobActions applies the actions of the table of jobs that are for this
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -272,7 +272,7 @@
 				}
 			}
 			n.core.SetMembers(f.clock(n), list)
-			if n.core.NeedsEndpoints() {
+			if n.core.NeedsEndpoints(f.clock(n)) {
 				f.readList(n, p)
 			}
 		})
@@ -362,6 +362,8 @@
 			f.handleAnswer(n, a)
 		case dispatcher.Send:
 			f.send(n, a)
+		case dispatcher.ReadEndpoints:
+			f.readList(n, n.process)
 		case dispatcher.OwnerChanged:
 			if a.Own {
 				f.readList(n, n.process)
--- a/internal/decide/owner/protocol.go
+++ b/internal/decide/owner/protocol.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
@@ -49,6 +50,13 @@
 	Incarnation int64
 }
 
+// Equal reports whether two entries are equal. It does not compare Kind and
+// Rack, which are taken from Labels.
+func (e Endpoint) Equal(o Endpoint) bool {
+	return e.ID == o.ID && e.Address == o.Address && e.Draining == o.Draining && e.Incarnation == o.Incarnation && e.Room == o.Room &&
+		e.Service == o.Service && e.DataCentre == o.DataCentre && slices.Equal(e.Labels, o.Labels)
+}
+
 // Reply classifies the answer to a call to an endpoint, or its absence.
 type Reply int
 
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -86,6 +86,8 @@
 			// Package logread matches this message.
 			p.log.WithField("peer", a.Peer.Instance).Warn("peer is silent")
 			p.mesh.CloseLink(a.Peer)
+		case dispatcher.ReadEndpoints:
+			p.requestListRead()
 		case dispatcher.OwnerChanged:
 			p.handleOwnerChange(now, a)
 		case dispatcher.IsolationChanged:
@@ -107,10 +109,7 @@
 	})
 	if change.Own {
 		p.counters.takeovers.Inc()
-		select {
-		case p.ownershipGained <- struct{}{}:
-		default:
-		}
+		p.requestListRead()
 		entry.Info("owning the endpoints")
 		return
 	}
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -35,9 +35,8 @@
 	// config is nil until a configuration has been read.
 	config   atomic.Pointer[activeConfig]
 	draining atomic.Bool
-	// ownershipGained wakes runEndpointList when this instance has become the
-	// owner of the endpoints.
-	ownershipGained chan struct{}
+	// readListNow wakes runEndpointList.
+	readListNow chan struct{}
 	// ownerKnown is set while some instance is known to own the endpoints.
 	ownerKnown atomic.Bool
 	// ctx ends when the process has drained and stops.
@@ -83,12 +82,12 @@
 	now := settings.Clock.Now()
 	p := &Process{
 		settings: settings, ports: ports, metrics: metrics.NewSet(),
-		self:            ident.Process{Instance: settings.Instance, Incarnation: newIncarnation(now)},
-		posts:           make(chan func(time.Time), postCapacity),
-		ownershipGained: make(chan struct{}, 1),
-		replies:         map[home.RequestID]chan<- home.Answer{},
-		linkTargets:     map[ident.InstanceID]Member{},
-		log:             settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
+		self:        ident.Process{Instance: settings.Instance, Incarnation: newIncarnation(now)},
+		posts:       make(chan func(time.Time), postCapacity),
+		readListNow: make(chan struct{}, 1),
+		replies:     map[home.RequestID]chan<- home.Answer{},
+		linkTargets: map[ident.InstanceID]Member{},
+		log:         settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
 	}
 	p.jobs = &Jobs{process: p}
 	var err error
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -182,7 +182,7 @@
 	dep := dependency{log: p.log.WithField("dependency", "list of endpoints in the store")}
 	for ctx.Err() == nil {
 		if !p.endpointListNeeded() {
-			p.waitForOwnership(p.settings.ListInterval)
+			p.waitForListRequest(p.settings.ListInterval)
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, p.settings.StoreTimeout)
@@ -195,30 +195,38 @@
 			continue
 		}
 		p.post(func(now time.Time) { p.handleEndpointList(now, list) })
-		p.waitForOwnership(p.settings.ListInterval)
+		p.waitForListRequest(p.settings.ListInterval)
 	}
 	return nil
 }
 
-// waitForOwnership waits for d, or until this instance becomes the owner of the
-// endpoints. A task that the previous owner may have started is started again
-// only after the new owner has read a newer list and polled all its endpoints,
-// so a new owner reads the list at once.
-func (p *Process) waitForOwnership(d time.Duration) {
+// waitForListRequest waits for d, or until the list is needed at once: a task
+// that the previous owner may have started is started again only after a new
+// owner has read a newer list and polled all its endpoints, and an owner that
+// cannot read the list asks peers for it.
+func (p *Process) waitForListRequest(d time.Duration) {
 	done := make(chan struct{})
 	timer := p.settings.Clock.AfterFunc(d, func() { close(done) })
 	defer timer.Stop()
 	select {
 	case <-done:
-	case <-p.ownershipGained:
+	case <-p.readListNow:
 	case <-p.ctx.Done():
 	}
 }
 
+// requestListRead wakes runEndpointList.
+func (p *Process) requestListRead() {
+	select {
+	case p.readListNow <- struct{}{}:
+	default:
+	}
+}
+
 // endpointListNeeded reports whether the core needs the list of endpoints to be
 // read.
 func (p *Process) endpointListNeeded() (endpointListNeeded bool) {
-	p.jobs.runOnLoop(func(time.Time) { endpointListNeeded = p.core.NeedsEndpoints() })
+	p.jobs.runOnLoop(func(now time.Time) { endpointListNeeded = p.core.NeedsEndpoints(now) })
 	return endpointListNeeded
 }
 
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -8,7 +8,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
-	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+	"hornbeamlift.example/hornbeamlift/internal/decide/listing"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
@@ -21,7 +21,7 @@
 			Seniority: int64(m.Seniority), Epoch: m.Epoch, Draining: m.Draining,
 			ListAgeMs: uint32(min(m.ListAge.Milliseconds(), math.MaxUint32)),
 			Owner:     string(m.Owner.Instance), OwnerIncarnation: uint64(m.Owner.Incarnation),
-			Ask:        m.RequestReply,
+			Ask: m.RequestReply, ReadList: m.ReadList,
 			Processors: uint32(min(max(m.Processors, 0), math.MaxUint32)),
 		}}}
 	case dispatcher.Orders:
@@ -30,8 +30,10 @@
 		return &peerpb.Message{Body: &peerpb.Message_WithdrawJob{WithdrawJob: &peerpb.WithdrawJob{Job: string(m)}}}
 	case dispatcher.TaskEnds:
 		return encodeEnds(m)
-	case dispatcher.EndpointList:
-		return encodeEndpoints(m.Endpoints, m.Age)
+	case listing.Snapshot:
+		return encodeSnapshot(m)
+	case listing.Changes:
+		return encodeChanges(m)
 	}
 	return &peerpb.Message{}
 }
@@ -50,7 +52,7 @@
 				},
 			},
 			ListAge:      time.Duration(body.Pulse.GetListAgeMs()) * time.Millisecond,
-			RequestReply: body.Pulse.GetAsk(),
+			RequestReply: body.Pulse.GetAsk(), ReadList: body.Pulse.GetReadList(),
 		}, true
 	case *peerpb.Message_PlaceOrders:
 		orders, ok := decodeOrders(body.PlaceOrders)
@@ -60,10 +62,12 @@
 	case *peerpb.Message_TaskEnds:
 		return dispatcher.TaskEnds(decodeEnds(body.TaskEnds)), true
 	case *peerpb.Message_EndpointList:
-		return dispatcher.EndpointList{
-			Endpoints: decodeEndpoints(body.EndpointList),
+		return listing.Snapshot{
+			Endpoints: decodeEndpoints(body.EndpointList.GetEndpoints()),
 			Age:       time.Duration(body.EndpointList.GetAgeMs()) * time.Millisecond,
 		}, true
+	case *peerpb.Message_EndpointChanges:
+		return decodeChanges(body.EndpointChanges), true
 	}
 	return nil, false
 }
@@ -150,35 +154,3 @@
 	}
 	return ends
 }
-
-func decodeEndpoints(body *peerpb.EndpointList) []owner.Endpoint {
-	list := make([]owner.Endpoint, len(body.GetEndpoints()))
-	for i, m := range body.GetEndpoints() {
-		e := owner.Endpoint{
-			ID: ident.EndpointID(m.GetId()), Service: ident.Service(m.GetService()), Address: m.GetAddress(),
-			DataCentre: ident.DataCentre(m.GetDataCentre()), Labels: m.GetLabels(), Room: decodeRoom(m.GetRoom()),
-			Draining: m.GetDraining(), Incarnation: m.GetBorn(),
-		}
-		// The first label is the kind of machine, the second one its rack.
-		if len(e.Labels) > 0 {
-			e.Kind = e.Labels[0]
-		}
-		if len(e.Labels) > 1 {
-			e.Rack = e.Labels[1]
-		}
-		list[i] = e
-	}
-	return list
-}
-
-func encodeEndpoints(list []owner.Endpoint, age time.Duration) *peerpb.Message {
-	body := &peerpb.EndpointList{AgeMs: uint32(age.Milliseconds()), Endpoints: make([]*peerpb.LeasedEndpoint, len(list))}
-	for i := range list {
-		e := &list[i]
-		body.Endpoints[i] = &peerpb.LeasedEndpoint{
-			Id: string(e.ID), Service: string(e.Service), Address: e.Address, DataCentre: string(e.DataCentre),
-			Labels: e.Labels, Room: encodeRoom(e.Room), Draining: e.Draining, Born: e.Incarnation,
-		}
-	}
-	return &peerpb.Message{Body: &peerpb.Message_EndpointList{EndpointList: body}}
-}
