Bound the starts in flight by their latency

Cause: under calm traffic the owner of the small twin sent every start at once; those behind a full link were not answered in the learned 40 to 120 ms, each closed its connections and added a poll without a wait, and the polls behind these failed in turn: 8,200 new connections and 12,000 polls for 3,800 runs, with 28 of 120 endpoints held. Change: package decide/congestion holds a window for starts in flight. Under congestion a call may take 400 ms, and a start without an answer adds no poll beside the one in flight.

--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -45,8 +45,11 @@
 	UnreliablePeriod   time.Duration
 	// MinCallTimeout and MaxCallTimeout bound the call timeout, which is
 	// learned from measured latencies. The wait of a poll is added to it.
-	MinCallTimeout time.Duration
-	MaxCallTimeout time.Duration
+	// CongestedCallTimeout replaces MaxCallTimeout while the calls are
+	// congested. With PollWait, it stays below the lease.
+	MinCallTimeout       time.Duration
+	MaxCallTimeout       time.Duration
+	CongestedCallTimeout time.Duration
 	// OwnerConflictDelay is how long waiting tasks are not started after
 	// another owner was detected or may have been active. It exceeds
 	// HeartbeatTimeout of leader.Config, after which the link to a home counts
@@ -117,6 +120,7 @@
 	set(&c.UnreliablePeriod, 5*time.Second)
 	set(&c.MinCallTimeout, 40*time.Millisecond)
 	set(&c.MaxCallTimeout, 120*time.Millisecond)
+	set(&c.CongestedCallTimeout, max(400*time.Millisecond, c.MaxCallTimeout))
 	set(&c.OwnerConflictDelay, 650*time.Millisecond)
 	set(&c.PollRetryDelay, 50*time.Millisecond)
 	set(&c.SweepInterval, 100*time.Millisecond)
@@ -160,8 +164,8 @@
 		return invalid("clock-error", "must be 0 to 0.5")
 	case c.RemoteFactor < 1:
 		return invalid("far-factor", "must be at least 1")
-	case c.MinCallTimeout <= 0 || c.MaxCallTimeout < c.MinCallTimeout:
-		return invalid("answer-min", "the minimum call timeout must be above 0 and at most the maximum call timeout")
+	case c.MinCallTimeout <= 0 || c.MaxCallTimeout < c.MinCallTimeout || c.CongestedCallTimeout < c.MaxCallTimeout:
+		return invalid("answer-min", "the minimum call timeout must be above 0 and at most the maximum call timeout, and that under congestion at least the maximum")
 	case c.MaxProbes < 1:
 		return invalid("max-probes", "must be at least 1")
 	case c.MaxWaiting < 1:
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -10,6 +10,7 @@
 
 // dispatch starts waiting tasks on all endpoints that may start tasks.
 func (p *Pool) dispatch(now time.Time) {
+	p.heldBack = false
 	if p.mayStart(now) {
 		p.startWaiting(now, p.startable(now), len(p.waiting))
 	}
@@ -24,6 +25,14 @@
 	}
 }
 
+// resumeHeldBack starts tasks that the window has held back, once a part of it
+// is free again.
+func (p *Pool) resumeHeldBack(now time.Time) {
+	if p.heldBack && p.window.Resumable(p.startsInFlight) {
+		p.dispatch(now)
+	}
+}
+
 // scanLimit is the limit that dispatchOn gives to startWaiting. The next tick
 // tries the rest.
 const scanLimit = 500
@@ -133,6 +142,10 @@
 		if len(*startable) == 0 {
 			break
 		}
+		if p.window.Free(p.startsInFlight) == 0 {
+			p.heldBack = true
+			break
+		}
 		room, taskClass := t.batch.needs.Room, t.batch.taskClass
 		if !room.Fits(free) || taskClass.knownNoRoom(p.searchRound, room) || !p.safeToStart(now, polledSince, t) {
 			continue
@@ -226,6 +239,7 @@
 	e.runs = append(e.runs, r)
 	e.usedRoom = e.usedRoom.Add(r.room)
 	p.runsByTask[t.key] = append(p.runsByTask[t.key], r)
+	p.startsInFlight++
 	t.run, t.queued = r, false
 	t.waited = now.Sub(t.batch.placedAt)
 	if t.batch.needs.SameRack && t.batch.rack == "" {
--- a/internal/decide/owner/latency.go
+++ b/internal/decide/owner/latency.go
@@ -30,10 +30,15 @@
 	l.mean += (took - l.mean) / meanDivisor
 }
 
-// timeout returns how long an answer may take.
-func (l *latencyEstimator) timeout(cfg *Config) time.Duration {
+// timeout returns how long an answer may take. Late answers are no lost answers
+// while the calls of this process are congested.
+func (l *latencyEstimator) timeout(cfg *Config, congested bool) time.Duration {
+	longest := cfg.MaxCallTimeout
+	if congested {
+		longest = cfg.CongestedCallTimeout
+	}
 	if l.mean == 0 {
-		return cfg.MaxCallTimeout
+		return longest
 	}
-	return min(max(l.mean+timeoutDeviations*l.deviation, cfg.MinCallTimeout), cfg.MaxCallTimeout)
+	return min(max(l.mean+timeoutDeviations*l.deviation, cfg.MinCallTimeout), longest)
 }
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -9,6 +9,7 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/congestion"
 )
 
 // Pool is the state of an owner: its endpoints, their runs and the waiting
@@ -41,6 +42,12 @@
 	// a poll.
 	unreliableCount int
 	latency         latencyEstimator
+	// window bounds startsInFlight, the starts that are reserved or sent and
+	// not answered. heldBack is set when it has kept tasks from starting since
+	// tasks were last started.
+	window         *congestion.Window
+	startsInFlight int
+	heldBack       bool
 	// probesInFlight counts the polls in flight to endpoints that are not held.
 	probesInFlight int
 	// sweptAt is when the last sweep took place. sweepDue is set when tasks
@@ -97,6 +104,7 @@
 	p.groupSlowdowns = map[speedGroup]*slowdown{}
 	p.taskClasses = map[taskClassID]*taskClass{}
 	p.probesInFlight, p.sweptAt, p.sweepDue = 0, time.Time{}, false
+	p.window, p.startsInFlight, p.heldBack = congestion.New(congestion.Config{}), 0, false
 	for _, e := range p.endpoints {
 		e.reset()
 	}
@@ -228,7 +236,7 @@
 func (p *Pool) newCall(e *endpoint) Call {
 	p.lastCall++
 	return Call{
-		Number: p.lastCall, Endpoint: e.ID, Address: e.Address, Fence: e.fence, Timeout: p.latency.timeout(&p.cfg),
+		Number: p.lastCall, Endpoint: e.ID, Address: e.Address, Fence: e.fence, Timeout: p.latency.timeout(&p.cfg, p.window.Congested()),
 	}
 }
 
--- a/internal/decide/owner/start.go
+++ b/internal/decide/owner/start.go
@@ -8,14 +8,20 @@
 
 // HandleCallResult handles the result of a Start or Stop.
 func (p *Pool) HandleCallResult(now time.Time, result *CallResult) []Action {
+	p.handleCallResult(now, result)
+	p.resumeHeldBack(now)
+	return p.flush()
+}
+
+func (p *Pool) handleCallResult(now time.Time, result *CallResult) {
 	c, ok := p.inFlight[result.Call]
 	delete(p.inFlight, result.Call)
+	if ok && !c.sentAt.IsZero() {
+		p.observeStart(now, now.Sub(c.sentAt), result.Reply)
+	}
 	r := c.run
 	if !ok || c.endpoint.findRun(r.id) != r {
-		return nil
-	}
-	if result.Reply != Unknown && result.Reply != NotSent && !c.sentAt.IsZero() {
-		p.latency.observe(now.Sub(c.sentAt))
+		return
 	}
 	t := r.task
 	if result.Clock > 0 && result.Clock > r.endpoint.clock {
@@ -29,7 +35,18 @@
 	if t != nil && t.queued {
 		p.dispatchNew(now, []*batch{t.batch})
 	}
-	return p.flush()
+}
+
+// observeStart records how long a start took to be answered or given up.
+func (p *Pool) observeStart(now time.Time, took time.Duration, reply Reply) {
+	p.startsInFlight--
+	answered := reply != Unknown && reply != NotSent
+	if answered {
+		p.latency.observe(took)
+	}
+	if answered || took >= p.cfg.MinCallTimeout {
+		p.window.Observe(now, took, answered, p.startsInFlight)
+	}
 }
 
 func (p *Pool) handleStartResult(now time.Time, r *run, result *CallResult, superseded bool) {
@@ -49,7 +66,9 @@
 		// it in any case.
 		r.startUnconfirmed, r.startUnconfirmedAt = true, now
 		p.stats.StartsRefused++
-		p.pollNow(now, e)
+		if !p.window.Congested() || e.pollCall == 0 {
+			p.pollNow(now, e)
+		}
 		return
 	case Fenced:
 		p.addRunEvent(now, Yielded, r)
