Close two ways in which a new owner started a task that still ran

Ruled out: refusals that are not true (the tasks had been placed again). Change: a new owner exceeds the highest known epoch by 1,024, more than an owner raises it by in the time of a heartbeat; a peer that reports that it has no list gets it with the owner's next message.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -221,6 +221,12 @@
 // calls in growing steps until the endpoints accept them.
 const epochBase = 1_577_836_800 // 2020-01-01
 
+// takeoverEpochs is by how many epochs a new owner exceeds the highest epoch
+// that it knows. The owner before it may have raised its fence since, by one
+// epoch for each endpoint that restarted, and an endpoint that has accepted a
+// poll of the new owner must refuse its starts.
+const takeoverEpochs = 1 << 10
+
 // updateOwner applies the owner and the isolation of the view to the pool and
 // the table of jobs, and reports changes of them.
 func (c *Core) updateOwner(now time.Time) {
@@ -229,7 +235,7 @@
 	isOwner := known && ownerProcess == c.self
 	switch {
 	case isOwner && !c.pool.Active():
-		epoch := max(c.view.Epoch()+1, uint64(max(0, now.Unix()-epochBase)))
+		epoch := max(c.view.Epoch()+takeoverEpochs, uint64(max(0, now.Unix()-epochBase)))
 		c.view.ObserveEpoch(epoch)
 		c.applyPoolActions(now, c.pool.Activate(now, owner.NewFence(epoch, c.cfg.FenceNonce), c.ownershipFilter(now)))
 	case !isOwner && c.pool.Active():
@@ -294,7 +300,7 @@
 	delete(c.lostPeers, process)
 	c.heartbeat(now, []ident.Process{process})
 	c.reclaimAt = now.Add(reclaimDelay)
-	c.list.HandleLinkUp(now, process)
+	c.list.HandleLinkUp(process)
 	return c.flush()
 }
 
--- a/internal/decide/listing/list.go
+++ b/internal/decide/listing/list.go
@@ -27,9 +27,9 @@
 	HelperTimeout time.Duration
 	// Helpers is the number of peers that are asked at a time.
 	Helpers int
-	// PushDelay is how long the owner waits before it sends its list to a peer
-	// that has none. The peer normally reads it from the store sooner.
-	PushDelay time.Duration
+	// PushInterval is the least time between two whole lists that the owner
+	// sends to a peer that has none.
+	PushInterval time.Duration
 }
 
 // Defaults returns c with its zero fields set to their defaults.
@@ -41,7 +41,7 @@
 	}
 	set(&c.MaxAge, 1500*time.Millisecond)
 	set(&c.HelperTimeout, 600*time.Millisecond)
-	set(&c.PushDelay, time.Second)
+	set(&c.PushInterval, time.Second)
 	if c.Helpers == 0 {
 		c.Helpers = 2
 	}
@@ -82,7 +82,7 @@
 	ownReadAt time.Time
 	helpers   helpers
 	// pushedAt holds, for each linked peer, when the owner last sent it the
-	// whole list, or when the link came up.
+	// whole list, or zero.
 	pushedAt map[ident.Process]time.Time
 	// request is the latest request of an owner to read the list for it.
 	request request
@@ -153,16 +153,18 @@
 }
 
 // HandleLinkUp records a new link to a peer.
-func (l *List) HandleLinkUp(now time.Time, p ident.Process) { l.pushedAt[p] = now }
+func (l *List) HandleLinkUp(p ident.Process) { l.pushedAt[p] = time.Time{} }
 
 // HandleLinkDown records that the link to a peer ended.
 func (l *List) HandleLinkDown(p ident.Process) { delete(l.pushedAt, p) }
 
 // NeedsPush reports whether the owner has to send its whole list to a linked
-// peer, whose own list has the given age. If so, it counts as sent.
+// peer, whose own list has the given age. If so, it counts as sent. A peer
+// without a list gets it at once: if it becomes the owner, it must poll all
+// endpoints that may have runs, also those that the store no longer lists.
 func (l *List) NeedsPush(now time.Time, p ident.Process, age time.Duration) bool {
 	at, linked := l.pushedAt[p]
-	if !linked || age < NoList || !l.Known() || now.Sub(at) < l.cfg.PushDelay {
+	if !linked || age < NoList || !l.Known() || now.Sub(at) < l.cfg.PushInterval {
 		return false
 	}
 	l.pushedAt[p] = now
