Refuse at once what cannot be served in its deadline, and finish started jobs first

Under overload the order by latest start always begins jobs that are just in time; their other tasks are then late and wait behind all that is not, so that jobs start and do not end. Change: package decide/admission predicts the wait from the work in the queue against the room, by the scarcest resource, and from the rate of starts; late work counts on what new arrivals leave. Each 50 ms the owner refuses batches that cannot end in time and of which nothing has started, with the predicted wait as Retry-After. The rest of started batches comes before all other tasks. MaxWaiting is enforced. Callers in the random schedules return after a refusal. TestMaxWaiting.

--- a/internal/decide/congestion/window.go
+++ b/internal/decide/congestion/window.go
@@ -48,7 +48,7 @@
 	growth = 0.25
 	// resumeParts is the number of parts of the window of which one must be
 	// free, so that held back calls are sent a few at a time.
-	resumeParts = 8
+	resumeParts = 4
 	// maxDecrease is the smallest factor by which the window shrinks at a time.
 	maxDecrease = 0.5
 )
--- a/internal/decide/dispatcher/jobs_test.go
+++ b/internal/decide/dispatcher/jobs_test.go
@@ -79,24 +79,25 @@
 	}
 }
 
-// resubmit submits a lost job to a random instance, as its caller does, with at
-// most four submissions.
-func (f *fleet) resubmit(j *simJob) {
+// resubmit submits a lost or refused job to a random instance after a delay, as
+// its caller does, with at most four submissions.
+func (f *fleet) resubmit(j *simJob, delay time.Duration) {
 	j.pending = false
 	if j.submissions >= 4 {
 		return
 	}
-	f.at(resubmitDelay, func() {
+	f.at(delay, func() {
 		n := f.instances[f.rng.IntN(len(f.instances))]
 		if !n.up {
-			f.resubmit(j)
+			f.resubmit(j, delay)
 			return
 		}
 		f.submit(n, j)
 	})
 }
 
-// handleAnswer checks an answer to a caller, which resubmits an overdue job.
+// handleAnswer checks an answer to a caller, which resubmits an overdue job, and
+// a refused one after the time that it was told.
 func (f *fleet) handleAnswer(n *simInstance, a home.Answer) {
 	for _, r := range a.Requests {
 		j := n.requests[r]
@@ -120,9 +121,10 @@
 		case home.Refused:
 			j.refused++
 			f.checkRefusedNotRun(j)
+			f.resubmit(j, a.RetryAfter)
 		case home.Overdue:
 			if j.submittedTo == n.process {
-				f.resubmit(j)
+				f.resubmit(j, resubmitDelay)
 			}
 		}
 	}
@@ -236,7 +238,7 @@
 	for _, r := range slices.Sorted(maps.Keys(n.requests)) {
 		// A caller waits only for its latest submission.
 		if j := n.requests[r]; j.submittedTo == p {
-			f.resubmit(j)
+			f.resubmit(j, resubmitDelay)
 		}
 	}
 	n.requests = nil
--- a/internal/decide/dispatcher/schedule_test.go
+++ b/internal/decide/dispatcher/schedule_test.go
@@ -219,6 +219,10 @@
 	}
 }
 
+// settleAfterJobs is long enough for callers that were refused to return once
+// more, which they are told to do within 10 s, and for their jobs to end.
+const settleAfterJobs = 14 * time.Second
+
 // checkServing submits jobs to each instance and fails if less than two thirds
 // of them finish, if one is refused or overdue within 300 ms, or if a task is
 // still running at the end.
@@ -237,7 +241,7 @@
 			}
 		}
 	}
-	f.run(4 * time.Second)
+	f.run(settleAfterJobs)
 	if served := f.finished - before; served < jobs*2/3 {
 		f.t.Fatalf("%d of %d jobs finished after the faults ended", served, jobs)
 	}
--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -97,11 +97,13 @@
 	// this length.
 	Cooldown    time.Duration
 	CooldownMax time.Duration
-	// MaxWaiting is not enforced: it is only validated. A Pool does not bound
-	// the number of its waiting tasks.
+	// MaxWaiting bounds the waiting tasks, and thus the memory that a flood
+	// takes. Far fewer wait as a rule, since those that cannot end in time are
+	// refused.
 	MaxWaiting int
-	// RetryAfter is the delay after which callers of refused and overdue jobs
-	// are told to retry.
+	// RetryAfter is the delay after which callers of overdue jobs are told to
+	// retry, and those of jobs that MaxWaiting or too many refused starts
+	// refuse.
 	RetryAfter time.Duration
 }
 
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -58,28 +58,76 @@
 	p.startReserved(now, p.reserveRoom(now, tasks, &startable))
 }
 
-// mayStart reports whether there are waiting tasks that the pool may start.
+// mayStart reports whether there are waiting tasks that the pool may start. It
+// also records that the window holds them back.
 func (p *Pool) mayStart(now time.Time) bool {
-	return p.active && len(p.waiting) > 0 && !now.Before(p.pausedUntil)
+	if !p.active || len(p.waiting) == 0 || now.Before(p.pausedUntil) {
+		return false
+	}
+	if p.window.Free(p.startsInFlight) == 0 {
+		p.heldBack = true
+		return false
+	}
+	return true
 }
 
-// startWaiting starts waiting tasks on endpoints. Tasks that can still meet
-// their target come first, in the order of their latest start; tasks that are
-// already late follow. At most limit tasks of each of these two groups are
-// tried.
+// startWaiting starts waiting tasks on endpoints. The rest of batches that have
+// started comes first, since a job is worth nothing without its last task. Tasks
+// that can still meet their target follow, in the order of their latest start,
+// and then tasks that are already late. At most limit tasks of each of the
+// latter two groups are tried.
 func (p *Pool) startWaiting(now time.Time, startable []*endpoint, limit int) {
 	if len(startable) == 0 {
 		return
 	}
+	first := p.firstInTime(now)
+	reserved := p.reserveRoom(now, p.startedRest(), &startable)
+	reserved = append(reserved, p.reserveRoom(now, p.waiting[first:min(first+limit, len(p.waiting))], &startable)...)
+	reserved = append(reserved, p.reserveRoom(now, p.waiting[:min(first, limit)], &startable)...)
+	p.startReserved(now, reserved)
+}
+
+// startedRest returns waiting tasks of batches of which others have started, at
+// most scanLimit and those of the batches first that started first.
+func (p *Pool) startedRest() []*task {
+	p.started = slices.DeleteFunc(p.started, func(b *batch) bool {
+		b.listedAsStarted = b.queuedTasks > 0
+		return !b.listedAsStarted
+	})
+	var rest []*task
+	for _, b := range p.started {
+		if len(rest) >= scanLimit {
+			break
+		}
+		for _, index := range slices.Sorted(maps.Keys(b.tasks)) {
+			if t := b.tasks[index]; t.queued {
+				rest = append(rest, t)
+			}
+		}
+	}
+	return rest
+}
+
+// noteStarted records that a task of the batch has started, so that the others
+// come next.
+func (p *Pool) noteStarted(b *batch) {
+	b.touched = true
+	if !b.listedAsStarted && b.queuedTasks > 0 {
+		b.listedAsStarted = true
+		p.started = append(p.started, b)
+	}
+}
+
+// firstInTime returns the position of the first waiting task that can still
+// meet its target.
+func (p *Pool) firstInTime(now time.Time) int {
 	first, _ := slices.BinarySearchFunc(p.waiting, now, func(t *task, now time.Time) int {
 		if t.batch.startBy().Before(now) {
 			return -1
 		}
 		return 1
 	})
-	reserved := p.reserveRoom(now, p.waiting[first:min(first+limit, len(p.waiting))], &startable)
-	reserved = append(reserved, p.reserveRoom(now, p.waiting[:min(first, limit)], &startable)...)
-	p.startReserved(now, reserved)
+	return first
 }
 
 // startReserved starts tasks whose room is reserved.
@@ -135,7 +183,12 @@
 // and returns the tasks that have room. It removes endpoints that are full from
 // startable.
 func (p *Pool) reserveRoom(now time.Time, tasks []*task, startable *[]*endpoint) []*task {
+	if len(tasks) == 0 || len(*startable) == 0 {
+		return nil
+	}
 	var reserved []*task
+	// noRoomFor is the batch whose task just found no room.
+	var noRoomFor *batch
 	polledSince, free := p.allPolledSince(), maxFree(*startable)
 	p.searchRound++
 	for _, t := range tasks {
@@ -146,13 +199,22 @@
 			p.heldBack = true
 			break
 		}
+		if t.batch == noRoomFor || !t.queued {
+			continue
+		}
 		room, taskClass := t.batch.needs.Room, t.batch.taskClass
-		if !room.Fits(free) || taskClass.knownNoRoom(p.searchRound, room) || !p.safeToStart(now, polledSince, t) {
+		if !room.Fits(free) || taskClass.knownNoRoom(p.searchRound, room) {
+			noRoomFor = t.batch
+			continue
+		}
+		// Tasks whose deadline has passed wait for expireWaiting.
+		if !now.Before(t.batch.deadline) || !p.safeToStart(now, polledSince, t) {
 			continue
 		}
 		e := p.chooseEndpoint(t, *startable)
 		if e == nil {
 			taskClass.markNoRoom(p.searchRound, room)
+			noRoomFor = t.batch
 			continue
 		}
 		if len(p.runsByTask[t.key]) > 0 {
@@ -241,6 +303,8 @@
 	p.runsByTask[t.key] = append(p.runsByTask[t.key], r)
 	p.startsInFlight++
 	t.run, t.queued = r, false
+	t.batch.queuedTasks--
+	p.noteStarted(t.batch)
 	t.waited = now.Sub(t.batch.placedAt)
 	if t.batch.needs.SameRack && t.batch.rack == "" {
 		t.batch.rack = e.Rack
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -32,23 +32,29 @@
 	return p.flush()
 }
 
-// place adds the tasks of one order and returns their batch. If the pool is not
-// active, it reports the tasks with the outcome job.NotOwner and returns nil.
+// place adds the tasks of one order and returns their batch. It returns nil and
+// reports their end if the pool is not active, or has too many waiting tasks.
 func (p *Pool) place(now time.Time, home ident.Process, o *job.Order) *batch {
 	id := batchID{home: home, job: o.Job, step: o.Step}
 	if !p.active {
-		p.rejectAsNotOwner(home, o)
+		p.endTasks(home, o, job.TaskEnd{Outcome: job.NotOwner})
+		return nil
+	}
+	if len(p.waiting)+len(o.Indexes) > p.cfg.MaxWaiting && !o.MayHaveStarted && p.batches[id] == nil {
+		p.stats.Shed += uint64(len(o.Indexes))
+		p.endTasks(home, o, job.TaskEnd{Outcome: job.Refused, RetryAfter: p.cfg.RetryAfter})
 		return nil
 	}
 	b := p.batches[id]
 	if b == nil {
 		b = &batch{
-			home: home, job: o.Job, step: o.Step, service: o.Service, payload: o.Payload, needs: o.Needs, taskClass: p.taskClassFor(o.Service, &o.Needs),
+			home: home, job: o.Job, step: o.Step, service: o.Service, payload: o.Payload, needs: o.Needs, taskClass: p.taskClassFor(o.Service, &o.Needs), load: p.loadOf(o.Service, o.Needs.RequiredLabel),
 			placedAt: now, target: now.Add(o.Target), deadline: now.Add(o.Deadline), tasks: map[int]*task{},
 		}
 		p.batches[id] = b
 		p.batchesByJob[b.job] = append(p.batchesByJob[b.job], b)
 	}
+	b.countArrival(now, len(o.Indexes))
 	for i, index := range o.Indexes {
 		t := b.tasks[index]
 		if t == nil {
@@ -62,12 +68,11 @@
 	return b
 }
 
-// rejectAsNotOwner reports the tasks of an order with the outcome job.NotOwner,
-// since another owner should get them.
-func (p *Pool) rejectAsNotOwner(home ident.Process, o *job.Order) {
+// endTasks reports the same end for all tasks of an order, which are not added.
+func (p *Pool) endTasks(home ident.Process, o *job.Order, end job.TaskEnd) {
 	for _, index := range o.Indexes {
-		key := job.Key{Job: o.Job, Step: o.Step, Index: index}
-		p.pendingEnds[home] = append(p.pendingEnds[home], job.TaskEnd{Key: key, Outcome: job.NotOwner})
+		end.Key = job.Key{Job: o.Job, Step: o.Step, Index: index}
+		p.pendingEnds[home] = append(p.pendingEnds[home], end)
 	}
 }
 
@@ -96,6 +101,7 @@
 		return
 	}
 	if mayHaveStarted {
+		b.touched = true
 		t.foreignStartUntil = now
 	}
 	if !p.finishIfInherited(now, t) {
@@ -115,6 +121,7 @@
 // adopt assigns a run that another owner started to its task.
 func (p *Pool) adopt(now time.Time, t *task, r *run) {
 	e := r.endpoint
+	t.batch.touched = true
 	r.claimed, r.room, r.task, t.run = true, t.batch.needs.Room, t, r
 	p.addRunEvent(now, Adopted, r)
 	r.knownSince = now
@@ -228,10 +235,8 @@
 	p.dropTask(t)
 }
 
-// expireWaiting ends waiting tasks whose deadline has passed. It also drops
-// expired inherited ends.
+// expireWaiting ends waiting tasks whose deadline has passed.
 func (p *Pool) expireWaiting(now time.Time) {
-	p.expireInherited(now)
 	var expired []*task
 	for _, t := range p.waiting {
 		if !now.Before(t.batch.deadline) {
@@ -271,6 +276,10 @@
 		return
 	}
 	t.queued = true
+	t.batch.queuedTasks++
+	if t.batch.touched {
+		p.noteStarted(t.batch)
+	}
 	by := t.batch.startBy()
 	index, _ := slices.BinarySearchFunc(p.waiting, by, func(o *task, by time.Time) int {
 		if o.batch.startBy().After(by) {
@@ -286,6 +295,7 @@
 		return
 	}
 	t.queued = false
+	t.batch.queuedTasks--
 	p.removeWaiting(t)
 }
 
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -31,6 +31,9 @@
 	// batchesByJob holds the batches of each job, from any home.
 	batchesByJob map[job.ID][]*batch
 	waiting      []*task // by startBy
+	// started holds batches of which some tasks have started and others may
+	// wait, in the order in which they started.
+	started []*batch
 	// runsByTask holds the runs of each task that still occupy an endpoint.
 	runsByTask map[job.Key][]*run
 	// inheritedEnds holds the ends of tasks that were done under an earlier
@@ -64,6 +67,10 @@
 	// groupSlowdowns holds the learned ratio of run time to estimate for each
 	// group of similar endpoints.
 	groupSlowdowns map[speedGroup]*slowdown
+	loads          map[loadID]*load
+	// shedAt is when the waiting tasks were last searched for those that are
+	// overdue or hopeless.
+	shedAt time.Time
 }
 
 // inFlightCall is a call that is not answered yet: a poll of an endpoint, or
@@ -96,13 +103,14 @@
 func (p *Pool) clear() {
 	p.batches = map[batchID]*batch{}
 	p.batchesByJob = map[job.ID][]*batch{}
-	p.waiting = nil
+	p.waiting, p.started = nil, nil
 	p.runsByTask = map[job.Key][]*run{}
 	p.inheritedEnds = map[job.Key]inheritedEnd{}
 	p.inFlight = map[uint64]inFlightCall{}
 	p.pendingEnds = map[ident.Process][]job.TaskEnd{}
 	p.groupSlowdowns = map[speedGroup]*slowdown{}
 	p.taskClasses = map[taskClassID]*taskClass{}
+	p.loads, p.shedAt = map[loadID]*load{}, time.Time{}
 	p.probesInFlight, p.sweptAt, p.sweepDue = 0, time.Time{}, false
 	p.window, p.startsInFlight, p.heldBack = congestion.New(congestion.Config{}), 0, false
 	for _, e := range p.endpoints {
@@ -185,8 +193,8 @@
 }
 
 // Tick sends polls and stops that are due, ends waiting tasks whose deadline
-// has passed, drops expired inherited ends, handles expired leases, and starts
-// tasks.
+// has passed, drops expired inherited ends, handles expired leases, starts
+// tasks, and refuses waiting tasks that cannot end in time.
 func (p *Pool) Tick(now time.Time) []Action {
 	if p.active {
 		p.sweep(now)
@@ -199,7 +207,12 @@
 		for _, e := range p.sortedEndpoints {
 			p.maintain(now, e)
 		}
-		p.expireWaiting(now)
+		p.expireInherited(now)
+		if now.Sub(p.shedAt) >= shedInterval {
+			p.shedAt = now
+			p.expireWaiting(now)
+			p.shed(now)
+		}
 		p.dispatch(now)
 	}
 	return p.flush()
--- /dev/null
+++ b/internal/decide/owner/shed.go
@@ -0,0 +1,142 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/admission"
+)
+
+// loadID identifies endpoints by what tasks ask for. A label that is not
+// required is empty.
+type loadID struct {
+	service ident.Service
+	label   string
+}
+
+// load is the load of the endpoints of a service, or of those of them that have
+// a label.
+type load struct {
+	capacity admission.Capacity
+	arrivals admission.Meter
+	// forecast is that of the latest search for hopeless batches.
+	forecast admission.Forecast
+}
+
+// maxLoads bounds the loads, since callers choose the labels. Tasks with a
+// further label count towards the load of their service.
+const maxLoads = 64
+
+// loadOf returns the load of the endpoints that may run a batch.
+func (p *Pool) loadOf(service ident.Service, label string) *load {
+	id := loadID{service: service, label: label}
+	if p.loads[id] == nil && len(p.loads) >= maxLoads {
+		id.label = ""
+	}
+	if p.loads[id] == nil {
+		p.loads[id] = &load{}
+	}
+	return p.loads[id]
+}
+
+// updateCapacities adds up the room of the owned endpoints of each load.
+// Endpoints that do not answer for a moment count, since work that waits for
+// them may still be served.
+func (p *Pool) updateCapacities() {
+	for _, l := range p.loads {
+		l.capacity = admission.Capacity{}
+	}
+	for _, e := range p.sortedEndpoints {
+		if e.Draining || !e.missingSince.IsZero() || e.ownership == ownershipForeign || !p.owns(e.Endpoint) {
+			continue
+		}
+		ratio := e.slowdown.blendedRatio(p.slowdownOfGroup(e))
+		for id, l := range p.loads {
+			if id.service == e.Service && (id.label == "" || slices.Contains(e.Labels, id.label)) {
+				l.capacity.Add(e.Room, ratio)
+			}
+		}
+	}
+}
+
+// countArrival records that tasks of a batch have arrived.
+func (b *batch) countArrival(now time.Time, tasks int) {
+	if l := b.load; l.capacity.Known() {
+		l.arrivals.Add(now, float64(tasks)*l.capacity.Work(b.needs.Room, b.needs.Estimate))
+	}
+}
+
+// shed refuses waiting batches that cannot end before their deadline, by the
+// work that starts before them. Tasks that can still meet their target start
+// first; those that are late get what the others leave of the capacity.
+func (p *Pool) shed(now time.Time) {
+	if len(p.waiting) == 0 {
+		return
+	}
+	p.updateCapacities()
+	for _, l := range p.loads {
+		l.forecast = admission.Forecast{Spare: 1, StartInterval: p.window.Interval()}
+	}
+	first := p.firstInTime(now)
+	hopeless := findHopeless(now, p.waiting[first:])
+	for _, l := range p.loads {
+		l.forecast.Spare = 1 - l.arrivals.Rate(now)
+	}
+	hopeless = append(hopeless, findHopeless(now, p.waiting[:first])...)
+	for _, b := range hopeless {
+		b.waited = now.Sub(b.placedAt)
+		p.refuse(b, b.load.forecast.Wait())
+	}
+}
+
+// shedInterval is the time between two searches for tasks that are overdue or
+// hopeless, which visit all waiting tasks. It is short for callers: below the
+// time that the shortest tasks run.
+const shedInterval = 50 * time.Millisecond
+
+// findHopeless returns the batches among the tasks, in the order in which they
+// start, that cannot end in time and of which nothing has started. The work of
+// the others is added to the forecasts. Tasks of a batch follow each other.
+func findHopeless(now time.Time, tasks []*task) []*batch {
+	var hopeless []*batch
+	var previous *batch
+	var work float64
+	for _, t := range tasks {
+		b := t.batch
+		l := b.load
+		if b.hopeless || !l.capacity.Known() {
+			continue
+		}
+		if b != previous {
+			previous, work = b, l.capacity.Work(b.needs.Room, b.needs.Estimate)
+		}
+		if !b.touched && now.Add(l.forecast.Wait()+b.needs.Estimate).After(b.deadline) {
+			b.hopeless = true
+			hopeless = append(hopeless, b)
+			continue
+		}
+		l.forecast.Add(work)
+	}
+	return hopeless
+}
+
+// refuse ends all tasks of a batch of which nothing has started.
+func (p *Pool) refuse(b *batch, retryAfter time.Duration) {
+	end := job.TaskEnd{Outcome: job.Refused, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter)}
+	for _, index := range slices.Sorted(maps.Keys(b.tasks)) {
+		p.stats.Shed++
+		t := b.tasks[index]
+		t.waited = b.waited
+		p.finishTask(t, end)
+	}
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound the time after which callers of
+	// refused jobs are told to return: the predicted wait of the queue.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
--- /dev/null
+++ b/internal/decide/owner/shed_test.go
@@ -0,0 +1,98 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+)
+
+// flooded returns a harness whose endpoints are offered several times what they
+// can run for a time, with what each order asked for and how it ended.
+type flooded struct {
+	*harness
+	placedAt map[job.ID]time.Time
+	done     int
+	// refusedAfter holds how long each refused job had waited.
+	refusedAfter []time.Duration
+	retryAfter   time.Duration
+	overdue      int
+	mostWaiting  int
+}
+
+// flood offers jobs of one task that take 100 ms on a third of an endpoint.
+func (f *flooded) flood(d, interval time.Duration) {
+	const step = 5 * time.Millisecond
+	owed := time.Duration(0)
+	for end := f.now.Add(d); f.now.Before(end); {
+		for owed += step; owed >= interval; owed -= interval {
+			o := order(fmt.Sprint("j-", len(f.placedAt)), 1, 10_000)
+			o.Target, o.Deadline, o.Needs.Estimate = 300*time.Millisecond, 1500*time.Millisecond, 100*time.Millisecond
+			f.placedAt[o.Job] = f.now
+			f.place(home1, o)
+		}
+		f.answerStarts()
+		f.advance(step)
+		f.answerPolls()
+		f.mostWaiting = max(f.mostWaiting, f.pool.Stats(f.now).Waiting)
+		for _, end := range f.ends {
+			waited := f.now.Sub(f.placedAt[end.Key.Job])
+			switch {
+			case end.Outcome == job.Done:
+				f.done++
+			case end.Outcome == job.Refused && waited < 1500*time.Millisecond:
+				f.refusedAfter = append(f.refusedAfter, waited)
+				f.retryAfter = max(f.retryAfter, end.RetryAfter)
+			default:
+				f.overdue++
+			}
+		}
+		f.ends = f.ends[:0]
+	}
+}
+
+// TestFloodIsRefusedEarly guards against a flood in which work waits until its
+// deadline passes, and in which work that could be served is refused: an owner
+// at two, four and ten times its room still runs what it runs at its room.
+func TestFloodIsRefusedEarly(t *testing.T) {
+	const endpoints, capacity = 4, 4 * 3 * 10 // runs a second: three at a time, 100 ms each
+	for _, times := range []int{2, 4, 10} {
+		t.Run(fmt.Sprint(times, "times"), func(t *testing.T) {
+			f := &flooded{harness: newHarness(t, endpoints), placedAt: map[job.ID]time.Time{}}
+			f.flood(2*time.Second, time.Second/capacity)
+			f.is.Equal(len(f.refusedAfter)+f.overdue, 0) // nothing is refused at its room
+			alone := f.done
+			f.flood(2*time.Second, time.Second/time.Duration(times*capacity))
+			f.done, f.refusedAfter, f.overdue, f.mostWaiting = 0, nil, 0, 0
+			f.flood(4*time.Second, time.Second/time.Duration(times*capacity))
+			t.Logf("%d done, %d refused, %d overdue, %d waited at most", f.done, len(f.refusedAfter), f.overdue, f.mostWaiting)
+			f.is.True(f.done >= 2*alone*9/10)
+			f.is.Equal(f.overdue, 0)
+			f.is.True(f.retryAfter >= time.Second)
+			f.is.True(f.mostWaiting <= times*capacity) // a second of arrivals
+			// The load falls: a second later nothing is refused any more.
+			f.flood(time.Second, 2*time.Second/capacity)
+			f.refusedAfter = nil
+			f.flood(2*time.Second, 2*time.Second/capacity)
+			f.is.Equal(len(f.refusedAfter)+f.overdue, 0)
+		})
+	}
+}
+
+// TestMaxWaiting guards against a flood whose tasks take up memory without
+// bound.
+func TestMaxWaiting(t *testing.T) {
+	h := newHarnessWith(t, 1, owner.Config{MaxWaiting: 100})
+	for i := range 50 {
+		o := order(fmt.Sprint("j-", i), 10, 40_000)
+		o.Deadline = time.Hour
+		h.place(home1, o)
+	}
+	h.is.Equal(h.pool.Stats(h.now).Waiting, 100)
+	h.is.Equal(len(h.ends), 400)
+	for _, end := range h.ends {
+		h.is.Equal(end.Outcome, job.Refused)
+	}
+}
--- a/internal/decide/owner/stats.go
+++ b/internal/decide/owner/stats.go
@@ -16,10 +16,15 @@
 	// claimed them. Reruns counts the runs that were stopped because they had
 	// stalled. StartsRefused includes the starts that were not answered.
 	Fenced, Adopted, Unclaimed, Reruns, StartsRefused uint64
+	// Shed counts the tasks that were refused before their deadline because
+	// they could not end in time, or because too many tasks waited.
+	Shed uint64
 	// Running counts all runs on endpoints, also those that are starting,
 	// stopping or unclaimed. Stopping counts those among them that are being
 	// stopped.
 	Waiting, Running, Stopping, Endpoints int
+	// Window is the number of starts that may be in flight.
+	Window int
 	// Held endpoints have accepted the fence of this owner and answer its
 	// polls. Foreign ones have seen a higher fence of another owner. Usable
 	// endpoints may start tasks as far as their state is concerned, but may
@@ -32,7 +37,7 @@
 // Stats returns the counters and the current sizes.
 func (p *Pool) Stats(now time.Time) Stats {
 	s := p.stats
-	s.Waiting, s.Endpoints = len(p.waiting), len(p.sortedEndpoints)
+	s.Waiting, s.Endpoints, s.Window = len(p.waiting), len(p.sortedEndpoints), p.window.Free(0)
 	count := func(n *int, when bool) {
 		if when {
 			*n++
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -17,12 +17,24 @@
 	payload   string
 	needs     job.Needs
 	taskClass *taskClass
+	load      *load
 	placedAt  time.Time
 	// target is when the step should end for the job to meet its target time,
 	// and deadline when the caller gives up.
 	target   time.Time
 	deadline time.Time
 	tasks    map[int]*task
+	// touched is set once a task of the batch has been started or adopted, or
+	// another owner may have started one.
+	touched bool
+	// queuedTasks is the number of tasks with queued set.
+	queuedTasks int
+	// listedAsStarted is set while the batch is in Pool.started.
+	listedAsStarted bool
+	// hopeless is set when the batch is refused because it cannot end in time,
+	// and waited is how long it waited until then.
+	hopeless bool
+	waited   time.Duration
 	// rack is where a step that needs a single rack runs. It is empty until the
 	// first task of the step starts.
 	rack string
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -72,12 +72,13 @@
 	gauge("hornbeamlift_list_age_seconds", age.Seconds())
 	gauge("hornbeamlift_tasks_waiting", float64(s.Waiting))
 	gauge("hornbeamlift_runs", float64(s.Running))
+	gauge("hornbeamlift_starts_window", float64(s.Window))
 	gauge("hornbeamlift_endpoints", float64(s.Endpoints))
 	gauge("hornbeamlift_endpoints_held", float64(s.Held))
 	gauge("hornbeamlift_endpoints_foreign", float64(s.Foreign))
 	gauge("hornbeamlift_endpoints_usable", float64(s.Usable))
 	for name, n := range map[string]uint64{
-		"starts": s.Starts, "starts_refused": s.StartsRefused, "tasks_done": s.Done, "tasks_failed": s.Failed,
+		"starts": s.Starts, "starts_refused": s.StartsRefused, "tasks_shed": s.Shed, "tasks_done": s.Done, "tasks_failed": s.Failed,
 		"tasks_lost": s.Lost, "tasks_refused": s.Refused, "stops": s.Stops, "looks": s.Polls,
 		"looks_failed": s.PollsFailed, "fenced": s.Fenced, "adopted": s.Adopted, "unclaimed": s.Unclaimed,
 		"restarts": s.Reruns,
@@ -107,7 +108,7 @@
 	p.log.WithFields(logrus.Fields{
 		"endpoints": s.Endpoints, "usable": s.Usable, "held": s.Held, "foreign": s.Foreign, "blocked": s.Blocked,
 		"resting": s.CoolingDown, "missing": s.Missing, "waiting": s.Waiting, "running": s.Running, "stopping": s.Stopping,
-		"starts": s.Starts, "lost": s.Lost, "fenced": s.Fenced, "looks-failed": s.PollsFailed,
+		"starts": s.Starts, "lost": s.Lost, "fenced": s.Fenced, "shed": s.Shed, "window": s.Window, "looks-failed": s.PollsFailed,
 		"list-age": age.Round(time.Millisecond).String(), "epoch": p.core.Epoch(),
 		"looks":  s.Polls - p.sinceStateLog.pollsBefore,
 		"behind": p.sinceStateLog.maxTickInterval.Round(time.Millisecond).String(), "goroutines": runtime.NumGoroutine(), "posts": len(p.posts),
