Give each data centre an owner of its own once the fleet has outgrown one

Change: package decide/group decides from the number of listed endpoints and the strongest instance, which its key in the store and its heartbeats show, whether the fleet is one group or one for each data centre. In a divided fleet the view, the links and the pool hold the own data centre only; nothing else differs from a small fleet. Tasks that had been placed in another group wait until its leases have ended, since polls do not show their runs. A first owner is chosen once the layout is known. Open: a data centre that outgrows its strongest instance is not split further, and work does not move between groups.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -135,8 +135,10 @@
 	Target   time.Duration
 	Deadline time.Duration
 	// MayHaveStarted is set if another owner may already have started the
-	// tasks.
+	// tasks, and OtherGroup if that owner was of another group, so that their
+	// runs may be on endpoints that the receiver does not poll.
 	MayHaveStarted bool
+	OtherGroup     bool
 }
 
 // Outcome is the outcome of a task, as the owner reports it to the home.
--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -56,7 +56,7 @@
 
 // Action is an action for the caller of a Core to carry out: an owner.Poll,
 // owner.Start, owner.Stop or owner.RunEvent, a home.Answer, or a Send,
-// CloseLink, ReadEndpoints, OwnerChanged or IsolationChanged.
+// CloseLink, ReadEndpoints, LayoutChanged, OwnerChanged or IsolationChanged.
 type Action any
 
 // Send sends a message to a process: a Heartbeat, Orders, Withdrawal, TaskEnds,
@@ -126,6 +126,7 @@
 	isolated  bool
 	lastOwner ident.Process
 	list      *listing.List
+	groups    groups
 	pending   []Action
 }
 
@@ -137,10 +138,12 @@
 		return nil, err
 	}
 	c := &Core{cfg: cfg, self: cfg.Leader.Self, jobs: home.New(), lostPeers: map[ident.Process]time.Time{}, list: listing.New(cfg.Listing)}
+	c.groups.linked = map[ident.Process]ident.DataCentre{}
 	var err error
 	if c.view, err = leader.New(now, cfg.Leader, seniority); err != nil {
 		return nil, err
 	}
+	c.view.Hold(true)
 	if c.pool, err = owner.New(cfg.Owner); err != nil {
 		return nil, err
 	}
@@ -153,6 +156,7 @@
 
 // Tick checks all timeouts and returns the actions that are due.
 func (c *Core) Tick(now time.Time) []Action {
+	c.updateLayout(now)
 	due, timedOut := c.view.Tick(now)
 	for _, s := range timedOut {
 		c.pending = append(c.pending, CloseLink{Peer: s})
@@ -160,6 +164,7 @@
 	}
 	c.updateOwner(now)
 	c.heartbeat(now, due)
+	c.closeOutsideLinks(now)
 	c.expireLostPeers(now)
 	c.applyJobActions(now, c.jobs.Tick(now))
 	if c.pool.Active() {
@@ -240,14 +245,14 @@
 		c.applyPoolActions(now, c.pool.Activate(now, owner.NewFence(epoch, c.cfg.FenceNonce), c.ownershipFilter(now)))
 	case !isOwner && c.pool.Active():
 		c.pool.Deactivate()
-	case isOwner && (isolated || c.isolated):
+	case isOwner && (isolated || c.isolated || c.groups.changed):
 		c.pool.SetOwned(c.ownershipFilter(now))
 	}
 	if known && ownerProcess != c.lastOwner {
 		c.lastOwner = ownerProcess
 		// The earlier owner drops the tasks of this instance when it gets this
 		// heartbeat.
-		c.heartbeat(now, c.view.Peers())
+		c.heartbeat(now, append(c.view.Peers(), c.outsidePeers()...))
 		c.pending = append(c.pending, OwnerChanged{Owner: ownerProcess, Own: isOwner, Epoch: c.view.Epoch(), Isolated: isolated})
 	}
 	if isolated != c.isolated {
@@ -257,6 +262,7 @@
 		}
 		c.pending = append(c.pending, IsolationChanged{Isolated: isolated})
 	}
+	c.groups.changed = false
 	c.applyJobActions(now, c.jobs.SetOwner(now, ownerProcess, known && (isOwner || c.view.Linked(ownerProcess))))
 }
 
@@ -264,7 +270,7 @@
 // own.
 func (c *Core) ownershipFilter(now time.Time) func(owner.Endpoint) bool {
 	filter := c.view.OwnershipFilter(now)
-	return func(e owner.Endpoint) bool { return filter(e.ID, e.DataCentre) }
+	return func(e owner.Endpoint) bool { return c.inGroup(e.DataCentre) && filter(e.ID, e.DataCentre) }
 }
 
 // heartbeat sends a heartbeat to processes.
@@ -289,6 +295,7 @@
 // of its jobs are withdrawn after grace, unless it has linked again by then.
 func (c *Core) handlePeerLost(now time.Time, process ident.Process, grace time.Duration) {
 	c.view.HandleLinkDown(process)
+	delete(c.groups.linked, process)
 	c.jobs.HandleLinkDown(process)
 	c.list.HandleLinkDown(process)
 	c.lostPeers[process] = now.Add(grace)
@@ -296,11 +303,16 @@
 
 // HandleLinkUp handles a new link to a process.
 func (c *Core) HandleLinkUp(now time.Time, process ident.Process, dc ident.DataCentre) []Action {
-	c.view.HandleLinkUp(now, process, dc)
+	c.groups.linked[process] = dc
 	delete(c.lostPeers, process)
+	if c.inGroup(dc) {
+		c.view.HandleLinkUp(now, process, dc)
+		c.reclaimAt = now.Add(reclaimDelay)
+		c.list.HandleLinkUp(process)
+	} else if c.groups.closeAt.IsZero() {
+		c.groups.closeAt = now.Add(outsideLinkTime)
+	}
 	c.heartbeat(now, []ident.Process{process})
-	c.reclaimAt = now.Add(reclaimDelay)
-	c.list.HandleLinkUp(process)
 	return c.flush()
 }
 
@@ -315,9 +327,6 @@
 	return c.flush()
 }
 
-// SetMembers records the instances that the store lists.
-func (c *Core) SetMembers(now time.Time, list []leader.Member) { c.view.SetMembers(now, list) }
-
 // Receive handles a message of a linked process.
 func (c *Core) Receive(now time.Time, from ident.Process, message any) []Action {
 	switch m := message.(type) {
--- a/internal/decide/dispatcher/endpoints.go
+++ b/internal/decide/dispatcher/endpoints.go
@@ -34,7 +34,8 @@
 
 // updateEndpoints passes the list to the pool.
 func (c *Core) updateEndpoints(now time.Time) {
-	c.applyPoolActions(now, c.pool.SetEndpoints(now, c.list.ReadAt(), c.list.Endpoints()))
+	c.updateLayout(now)
+	c.applyPoolActions(now, c.pool.SetEndpoints(now, c.list.ReadAt(), c.groupEndpoints()))
 }
 
 // sendChanges sends changes of the list to all peers.
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -10,6 +10,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
+	"hornbeamlift.example/hornbeamlift/internal/decide/group"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
@@ -121,6 +122,11 @@
 	starts   int
 	finished int
 	cfg      dispatcher.Config
+	// strength is that of all instances.
+	strength group.Strength
+	// divisions counts the instances that saw the fleet divided, once for each
+	// time.
+	divisions int
 }
 
 const (
@@ -143,8 +149,15 @@
 )
 
 func newFleet(t testing.TB, seed uint64, instances, endpoints int) *fleet {
+	return newFleetOf(t, seed, instances, endpoints, group.Strength{})
+}
+
+// newFleetOf returns a fleet whose instances can own as many endpoints as
+// strength allows.
+func newFleetOf(t testing.TB, seed uint64, instances, endpoints int, strength group.Strength) *fleet {
 	f := &fleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
+		strength: strength,
+		t:        t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
 		instanceCuts: map[[2]int]bool{}, endpointCuts: map[[2]int]bool{}, jobsByID: map[job.ID]*simJob{},
 		running: map[job.Key]map[int]*simEndpoint{},
 	}
@@ -213,7 +226,7 @@
 	n.up, n.paused, n.deferred, n.clockLag = true, false, nil, 0
 	n.requests, n.links = map[home.RequestID]*simJob{}, map[int]ident.Process{}
 	cfg := f.cfg
-	cfg.Leader = leader.Config{Self: n.process, DataCentre: n.dc}
+	cfg.Leader = leader.Config{Self: n.process, DataCentre: n.dc, Strength: f.strength}
 	cfg.FenceNonce = f.rng.Uint32()
 	var err error
 	n.core, err = dispatcher.New(f.now, cfg, leader.Seniority(f.now.UnixMilli()))
@@ -268,7 +281,7 @@
 			var list []leader.Member
 			for _, o := range f.instances {
 				if o.up && !o.storeCut {
-					list = append(list, leader.Member{Instance: o.process.Instance, DataCentre: o.dc})
+					list = append(list, leader.Member{Instance: o.process.Instance, DataCentre: o.dc, Strength: f.strength})
 				}
 			}
 			n.core.SetMembers(f.clock(n), list)
@@ -309,7 +322,7 @@
 			return
 		case a.links[b.index] == pb || b.links[a.index] == pa:
 			return
-		case f.instanceCuts[pair(a.index, b.index)] || a.paused || b.paused:
+		case f.instanceCuts[pair(a.index, b.index)] || a.paused || b.paused || !a.core.MayLink(b.dc) || !b.core.MayLink(a.dc):
 			f.connect(a, b)
 			return
 		}
@@ -364,6 +377,11 @@
 			f.send(n, a)
 		case dispatcher.ReadEndpoints:
 			f.readList(n, n.process)
+		case dispatcher.LayoutChanged:
+			f.logf("instance %d sees the layout %v", n.index, a.Layout)
+			if a.Layout == group.ByDataCentre {
+				f.divisions++
+			}
 		case dispatcher.OwnerChanged:
 			if a.Own {
 				f.readList(n, n.process)
--- a/internal/decide/dispatcher/schedule_test.go
+++ b/internal/decide/dispatcher/schedule_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
+	"hornbeamlift.example/hornbeamlift/internal/decide/group"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 )
 
@@ -26,21 +27,28 @@
 		runSchedule(t, *seedFlag)
 		return
 	}
-	starts, finished, jobs := 0, 0, 0
+	starts, finished, jobs, divisions := 0, 0, 0, 0
 	for seed := uint64(1); seed <= uint64(*seeds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			f := runSchedule(t, seed)
-			starts, finished, jobs = starts+f.starts, finished+f.finished, jobs+len(f.simJobs)
+			starts, finished, jobs, divisions = starts+f.starts, finished+f.finished, jobs+len(f.simJobs), divisions+f.divisions
 		})
 	}
-	t.Logf("%d starts, %d of %d jobs finished", starts, finished, jobs)
+	t.Logf("%d starts, %d of %d jobs finished, %d times an instance saw the fleet divided", starts, finished, jobs, divisions)
 	if *seeds >= 10 && finished*2 < jobs {
 		t.Fatal("less than half of the jobs finished, so the schedules cover too little")
 	}
 }
 
 func runSchedule(t *testing.T, seed uint64) *fleet {
-	f := newFleet(t, seed, 4, 6)
+	// With odd seeds the instances can own five of the six endpoints, so that
+	// the fleet is divided by data centre, and is whole again for as long as an
+	// endpoint is down.
+	var strength group.Strength
+	if seed%2 == 1 {
+		strength.Processors = 9
+	}
+	f := newFleetOf(t, seed, 4, 6, strength)
 	f.run(time.Second)
 	for range 300 {
 		f.randomEvent()
--- /dev/null
+++ b/internal/decide/group/layout.go
@@ -0,0 +1,100 @@
+// Package group decides which instances and endpoints form a group with an
+// owner of its own. It answers a fleet that has outgrown a single owner: more
+// endpoints than the strongest instance can start tasks on.
+//
+// A fleet is one group as long as an instance can own all endpoints, since one
+// view of all endpoints serves callers best. Beyond that each data centre is a
+// group: its instances link to each other only, one of them owns the endpoints
+// of the data centre, and the data centre serves on unchanged when it is cut
+// off. A Decider is a deterministic state machine.
+package group
+
+import "time"
+
+// Layout says how the fleet is divided.
+type Layout int
+
+const (
+	// Unknown: not enough is known yet to decide.
+	Unknown Layout = iota
+	// Whole: the fleet is one group.
+	Whole
+	// ByDataCentre: each data centre is a group.
+	ByDataCentre
+)
+
+// String returns the layout in kebab case, for logs.
+func (l Layout) String() string {
+	switch l {
+	case Whole:
+		return "whole"
+	case ByDataCentre:
+		return "by-data-centre"
+	}
+	return "unknown"
+}
+
+// Strength is what bounds the endpoints that an instance can own.
+type Strength struct {
+	// Processors is in thousandths of a core, and LinkRate in bytes a second.
+	// Zero means unknown.
+	Processors int64
+	LinkRate   int64
+}
+
+const (
+	// processorsPerEndpoint is the processor capacity, in millionths of a core,
+	// that an owner needs for an endpoint in a burst, with as much again for
+	// what it does besides.
+	processorsPerEndpoint = 1800
+	// bytesPerEndpoint is the same for its link, in bytes a second.
+	bytesPerEndpoint = 4000
+)
+
+// Endpoints returns how many endpoints an instance of that strength can own, or
+// zero if its processors are unknown.
+func (s Strength) Endpoints() int {
+	n := s.Processors * 1000 / processorsPerEndpoint
+	if s.LinkRate > 0 {
+		n = min(n, s.LinkRate/bytesPerEndpoint)
+	}
+	return int(n)
+}
+
+// changeDelay is how long the layout must differ before it changes: the list of
+// members lacks instances that are just starting.
+const changeDelay = 2 * time.Second
+
+// Decider decides on the layout as one instance sees it.
+type Decider struct {
+	layout Layout
+	// differsSince is when another layout was first called for, or zero.
+	differsSince time.Time
+}
+
+// Layout returns the layout that is in use.
+func (d *Decider) Layout() Layout { return d.layout }
+
+// Update decides from the number of listed endpoints and the number that the
+// strongest instance can own, where zero means unknown. It reports whether the
+// layout has changed. The first decision takes effect at once, later ones after
+// changeDelay.
+func (d *Decider) Update(now time.Time, endpoints, largestOwner int) bool {
+	wanted := Whole
+	if largestOwner > 0 && endpoints > largestOwner {
+		wanted = ByDataCentre
+	}
+	switch {
+	case wanted == d.layout:
+		d.differsSince = time.Time{}
+		return false
+	case d.layout == Unknown:
+	case d.differsSince.IsZero():
+		d.differsSince = now
+		return false
+	case now.Sub(d.differsSince) < changeDelay:
+		return false
+	}
+	d.layout, d.differsSince = wanted, time.Time{}
+	return true
+}
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -107,6 +107,9 @@
 
 type stepState struct {
 	placed bool
+	// otherGroup is set once open tasks of the step that had been placed are
+	// placed in another group.
+	otherGroup bool
 	// placedAgain is set once the open tasks of the step have been placed again
 	// at a new owner or after a rejection, since another owner may have started
 	// them. The retry of a failed task does not set it.
@@ -292,7 +295,7 @@
 	s := &j.spec.Steps[step]
 	o := job.Order{
 		Job: j.spec.ID, Step: step, Service: j.settings.Service, Payload: j.spec.Payload, Needs: s.Needs,
-		Target: j.target.Sub(now) - j.pathAfter[step], Deadline: j.deadline.Sub(now), MayHaveStarted: j.steps[step].placedAgain,
+		Target: j.target.Sub(now) - j.pathAfter[step], Deadline: j.deadline.Sub(now), MayHaveStarted: j.steps[step].placedAgain, OtherGroup: j.steps[step].otherGroup,
 	}
 	for k := range j.steps[step].tasks {
 		if task := &j.steps[step].tasks[k]; !task.done {
@@ -346,6 +349,16 @@
 	return orders
 }
 
+// HandleGroupChange records that the owners that follow are of another group of
+// endpoints than those before.
+func (t *Table) HandleGroupChange() {
+	for _, j := range t.jobs {
+		for i := range j.steps {
+			j.steps[i].otherGroup = j.steps[i].otherGroup || j.steps[i].placed
+		}
+	}
+}
+
 // HandlePause moves deadlines earlier by suspended, the part of a pause of this
 // process that the clock did not count, for example while the machine was
 // suspended.
--- a/internal/decide/leader/rank.go
+++ b/internal/decide/leader/rank.go
@@ -35,6 +35,18 @@
 	return c.process.Instance < o.process.Instance
 }
 
+// MaxProcessors returns the processor capacity of the strongest instance that
+// is linked, this one included, in thousandths of a core.
+func (v *View) MaxProcessors() int64 {
+	largest := v.cfg.Strength.Processors
+	for _, p := range v.peers {
+		if p.linked && p.hasHeartbeat {
+			largest = max(largest, p.heartbeat.Processors)
+		}
+	}
+	return largest
+}
+
 // rank returns the instance that is to lead and its successor, which is empty
 // if there is no other instance. Instances that are not draining come before
 // draining ones, large ones before small ones, and senior ones before junior
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -18,6 +18,7 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/group"
 )
 
 // Seniority orders instances: the one with the lowest value is the most senior;
@@ -29,9 +30,8 @@
 type Config struct {
 	Self       ident.Process
 	DataCentre ident.DataCentre
-	// Processors is the processor capacity of this instance, in thousandths of
-	// a core. Zero means unknown.
-	Processors int64
+	// Strength is that of this instance.
+	Strength group.Strength
 	// HeartbeatInterval, the short interval, applies on the links to the
 	// instance that is to lead and to its successor, which is ranked second.
 	// SlowHeartbeatInterval, the slow interval, applies on all other links.
@@ -151,6 +151,8 @@
 	// last linked only to a minority.
 	isolated     bool
 	lastMinority time.Time
+	// held is set while no owner may be chosen; see Hold.
+	held bool
 }
 
 // Member is an instance that the store lists. Peers that are linked count as
@@ -158,6 +160,8 @@
 type Member struct {
 	Instance   ident.InstanceID
 	DataCentre ident.DataCentre
+	// Strength bounds the endpoints that the instance can own.
+	Strength group.Strength
 }
 
 // New returns the view of a process that starts now. It returns the error of
@@ -172,7 +176,7 @@
 
 // OwnHeartbeat returns the heartbeat of this instance.
 func (v *View) OwnHeartbeat() Heartbeat {
-	return Heartbeat{Seniority: v.seniority, Processors: v.cfg.Processors, Epoch: v.epoch, Draining: v.draining, Owner: v.owner}
+	return Heartbeat{Seniority: v.seniority, Processors: v.cfg.Strength.Processors, Epoch: v.epoch, Draining: v.draining, Owner: v.owner}
 }
 
 // Epoch returns the highest epoch seen so far.
@@ -190,6 +194,13 @@
 // it.
 func (v *View) Demote(s Seniority) { v.seniority = max(v.seniority, s) }
 
+// Hold keeps this instance from choosing a first owner until it is called with
+// false, or until twice the settle time has passed.
+func (v *View) Hold(held bool) { v.held = held }
+
+// RemovePeer removes an instance that is no longer in the group of this one.
+func (v *View) RemovePeer(id ident.InstanceID) { delete(v.peers, id) }
+
 // HandleLinkUp records a new link to p, which replaces an earlier link to its
 // instance.
 func (v *View) HandleLinkUp(now time.Time, p ident.Process, dc ident.DataCentre) {
@@ -316,10 +327,16 @@
 }
 
 // settled reports whether this instance may choose an owner. It may once it has
-// chosen one before, after Config.SettleTime, or when the store has listed this
+// chosen one before, after Config.SettleTime unless it is held, or when the store has listed this
 // instance and all others on its latest list have sent heartbeats.
 func (v *View) settled(now time.Time) bool {
-	if v.owner.Instance != "" || now.Sub(v.started) >= v.cfg.SettleTime {
+	if v.owner.Instance != "" || now.Sub(v.started) >= 2*v.cfg.SettleTime {
+		return true
+	}
+	if v.held {
+		return false
+	}
+	if now.Sub(v.started) >= v.cfg.SettleTime {
 		return true
 	}
 	if !v.selfListed {
--- a/internal/decide/leader/view_test.go
+++ b/internal/decide/leader/view_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/group"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
 )
 
@@ -244,7 +245,7 @@
 			is := is.New(t)
 			for self := range 3 {
 				v, err := leader.New(baseTime, leader.Config{
-					Self: process(self), DataCentre: "a", Processors: tt.processors[self],
+					Self: process(self), DataCentre: "a", Strength: group.Strength{Processors: tt.processors[self]},
 				}, leader.Seniority(100+self))
 				is.NoErr(err)
 				if self == tt.draining {
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -58,11 +58,12 @@
 	for i, index := range o.Indexes {
 		t := b.tasks[index]
 		if t == nil {
-			p.addTask(now, b, index, o.MinRuns[i], o.MayHaveStarted)
+			p.addTask(now, b, index, o.MinRuns[i], o)
 			continue
 		}
 		if o.MayHaveStarted && t.run == nil {
 			t.foreignStartUntil, t.nextRun = now, max(t.nextRun, o.MinRuns[i])
+			t.otherGroup = t.otherGroup || o.OtherGroup
 		}
 	}
 	return b
@@ -78,7 +79,7 @@
 
 // addTask adds one task. A run of the same task that is on an endpoint is
 // adopted if no home has claimed it, and stopped otherwise.
-func (p *Pool) addTask(now time.Time, b *batch, index, minRun int, mayHaveStarted bool) {
+func (p *Pool) addTask(now time.Time, b *batch, index, minRun int, o *job.Order) {
 	t := &task{
 		batch:   b,
 		key:     job.Key{Job: b.job, Step: b.step, Index: index},
@@ -100,9 +101,9 @@
 	if t.run != nil {
 		return
 	}
-	if mayHaveStarted {
+	if o.MayHaveStarted {
 		b.touched = true
-		t.foreignStartUntil = now
+		t.foreignStartUntil, t.otherGroup = now, o.OtherGroup
 	}
 	if !p.finishIfInherited(now, t) {
 		p.enqueue(t)
@@ -147,12 +148,16 @@
 
 // safeToStart reports whether the task may start. It may not before notBefore,
 // nor while another owner may have it running: until all endpoints have been
-// polled since foreignStartUntil, or Config.ForeignStartDelay has passed.
+// polled since foreignStartUntil, if that owner was of the same group, or
+// Config.ForeignStartDelay has passed.
 func (p *Pool) safeToStart(now, polledSince time.Time, t *task) bool {
 	if now.Before(t.notBefore) {
 		return false
 	}
-	return t.foreignStartUntil.IsZero() || !polledSince.Before(t.foreignStartUntil) || now.Sub(t.foreignStartUntil) >= p.cfg.ForeignStartDelay
+	if t.foreignStartUntil.IsZero() || now.Sub(t.foreignStartUntil) >= p.cfg.ForeignStartDelay {
+		return true
+	}
+	return !t.otherGroup && !polledSince.Before(t.foreignStartUntil)
 }
 
 // sweep polls all held endpoints at once when tasks were placed that another
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -192,6 +192,18 @@
 	return p.Tick(now)
 }
 
+// SetGroup removes the endpoints that are not in the group of this instance any
+// more. Those with runs stay until their homes have withdrawn the tasks.
+func (p *Pool) SetGroup(inGroup func(Endpoint) bool) {
+	p.sortedEndpoints = slices.DeleteFunc(p.sortedEndpoints, func(e *endpoint) bool {
+		removed := !inGroup(e.Endpoint) && len(e.runs) == 0
+		if removed {
+			delete(p.endpoints, e.ID)
+		}
+		return removed
+	})
+}
+
 // Tick sends polls and stops that are due, ends waiting tasks whose deadline
 // has passed, drops expired inherited ends, handles expired leases, starts
 // tasks, and refuses waiting tasks that cannot end in time.
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -59,6 +59,9 @@
 	// the task, or zero. The task may then run on an endpoint that this owner
 	// has not polled since.
 	foreignStartUntil time.Time
+	// otherGroup is set if that owner was of another group, so that polls do
+	// not show its runs.
+	otherGroup bool
 	// notBefore delays the start, since the task's home may have switched to
 	// another owner.
 	notBefore time.Time
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -88,6 +88,9 @@
 			p.mesh.CloseLink(a.Peer)
 		case dispatcher.ReadEndpoints:
 			p.requestListRead()
+		case dispatcher.LayoutChanged:
+			p.log.WithField("layout", a.Layout.String()).Info("division of the fleet has changed")
+			p.selectTargets()
 		case dispatcher.OwnerChanged:
 			p.handleOwnerChange(now, a)
 		case dispatcher.IsolationChanged:
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -34,7 +34,7 @@
 // listed yet is added to linkTargets.
 func (p *Process) handleLinkUp(now time.Time, process ident.Process, dc ident.DataCentre, address string) {
 	p.log.WithField("peer", process.Instance).Info("link to peer is up")
-	if _, known := p.linkTargets[process.Instance]; !known {
+	if _, known := p.linkTargets[process.Instance]; !known && p.core.MayLink(dc) {
 		p.linkTargets[process.Instance] = Member{Process: process, DataCentre: dc, Address: address}
 		p.updateTargets()
 	}
--- a/internal/process/dispatch/ports.go
+++ b/internal/process/dispatch/ports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/group"
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 	"hornbeamlift.example/hornbeamlift/internal/decide/route"
 )
@@ -22,6 +23,8 @@
 	DataCentre ident.DataCentre
 	// Address is where the instance accepts connections from peers.
 	Address string
+	// Strength bounds the endpoints that the instance can own.
+	Strength group.Strength
 }
 
 // Ports holds the functions through which a Process reaches external systems,
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -49,6 +49,8 @@
 	// answer.
 	replies     map[home.RequestID]chan<- home.Answer
 	nextRequest home.RequestID
+	// members holds the instances that the store last listed.
+	members []Member
 	// linkTargets holds the other instances that the mesh keeps links to.
 	linkTargets map[ident.InstanceID]Member
 	lastTick    time.Time
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -80,7 +81,7 @@
 	var lease LeaseID
 	var cache memberCache
 	dep := dependency{log: p.log.WithField("dependency", "members in the store")}
-	own := Member{Process: p.self, DataCentre: p.settings.DataCentre, Address: p.settings.PeerAddress}
+	own := Member{Process: p.self, DataCentre: p.settings.DataCentre, Address: p.settings.PeerAddress, Strength: p.settings.Leader.Strength}
 	for round := 0; ctx.Err() == nil; round++ {
 		call, cancel := context.WithTimeout(ctx, p.settings.StoreTimeout)
 		err := p.renewMembership(call, own, &lease, &cache)
@@ -164,20 +165,27 @@
 func (p *Process) handleMembers(now time.Time, list []Member) {
 	members := make([]leader.Member, len(list))
 	for i, m := range list {
-		members[i] = leader.Member{Instance: m.Process.Instance, DataCentre: m.DataCentre}
+		members[i] = leader.Member{Instance: m.Process.Instance, DataCentre: m.DataCentre, Strength: m.Strength}
 	}
 	p.core.SetMembers(now, members)
+	p.members = list
+	p.selectTargets()
+}
+
+// selectTargets updates linkTargets to the members of this instance's group.
+func (p *Process) selectTargets() {
 	targets := map[ident.InstanceID]Member{}
 	for id, m := range p.linkTargets {
 		if _, linked := p.mesh.ConnectedProcess(id); linked {
 			targets[id] = m
 		}
 	}
-	for _, m := range list {
+	for _, m := range p.members {
 		if m.Process.Instance != p.self.Instance {
 			targets[m.Process.Instance] = m
 		}
 	}
+	maps.DeleteFunc(targets, func(_ ident.InstanceID, m Member) bool { return !p.core.MayLink(m.DataCentre) })
 	p.linkTargets = targets
 	p.updateTargets()
 }
