Let an owner of a data centre wait for leases that an owner of the whole fleet may hold

Ruled out: fences (the endpoints of both runs obeyed the right owner). Change: orders say whether they were ever placed while the fleet was whole; an owner of one data centre takes such orders, those of homes of other data centres, and what waits when its group shrinks, for started elsewhere, and waits until the leases there have ended. Replaces the flag that the home set at its own change.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -135,10 +135,10 @@
 	Target   time.Duration
 	Deadline time.Duration
 	// MayHaveStarted is set if another owner may already have started the
-	// tasks, and OtherGroup if that owner was of another group, so that their
-	// runs may be on endpoints that the receiver does not poll.
+	// tasks. PlacedWhole is set if that owner may have owned the endpoints of
+	// the whole fleet, and not only those of the home's data centre.
 	MayHaveStarted bool
-	OtherGroup     bool
+	PlacedWhole    bool
 }
 
 // Outcome is the outcome of a task, as the owner reports it to the home.
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -371,6 +371,8 @@
 			f.sendCall(n, a.Endpoint, func(s *simEndpoint) owner.CallResult { return s.fake.Start(f.now, a) }, a.Number)
 		case owner.Stop:
 			f.sendCall(n, a.Endpoint, func(s *simEndpoint) owner.CallResult { return s.fake.Stop(f.now, a) }, a.Number)
+		case owner.RunEvent:
+			f.logf("instance %d: run %d of %v on %v %v", n.index, a.Run, a.Key, a.Endpoint, a.Event)
 		case home.Answer:
 			f.handleAnswer(n, a)
 		case dispatcher.Send:
--- a/internal/decide/dispatcher/groups.go
+++ b/internal/decide/dispatcher/groups.go
@@ -83,7 +83,7 @@
 	if before == group.Unknown && layout == group.Whole {
 		return
 	}
-	c.jobs.HandleGroupChange()
+	c.jobs.SetWhole(layout == group.Whole)
 	c.followLayout(now)
 }
 
@@ -107,7 +107,13 @@
 			c.view.RemovePeer(m.Instance)
 		}
 	}
-	c.pool.SetGroup(func(e owner.Endpoint) bool { return c.inGroup(e.DataCentre) })
+	c.pool.SetGroup(owner.Group{
+		Whole: c.groups.decider.Layout() == group.Whole,
+		Home: func(p ident.Process) bool {
+			return p == c.self || c.groups.linked[p] == c.cfg.Leader.DataCentre
+		},
+		Endpoint: func(e owner.Endpoint) bool { return c.inGroup(e.DataCentre) },
+	})
 	c.applyPoolActions(now, c.pool.SetEndpoints(now, c.list.ReadAt(), c.groupEndpoints()))
 }
 
--- a/internal/decide/home/completion.go
+++ b/internal/decide/home/completion.go
@@ -85,7 +85,7 @@
 	if !t.ownerKnown {
 		return
 	}
-	o := j.newOrder(now, k.Step)
+	o := t.newOrder(now, j, k.Step)
 	o.Indexes = []int{k.Index}
 	o.MinRuns = []int{j.steps[k.Step].tasks[k.Index].minRun}
 	t.actions = append(t.actions, Place{To: t.owner, Orders: []job.Order{o}})
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -107,9 +107,9 @@
 
 type stepState struct {
 	placed bool
-	// otherGroup is set once open tasks of the step that had been placed are
-	// placed in another group.
-	otherGroup bool
+	// placedWhole is set once tasks of the step have been placed while the
+	// fleet was one group as far as this instance knew.
+	placedWhole bool
 	// placedAgain is set once the open tasks of the step have been placed again
 	// at a new owner or after a rejection, since another owner may have started
 	// them. The retry of a failed task does not set it.
@@ -172,9 +172,11 @@
 
 // Table holds the open jobs and recent results.
 type Table struct {
-	jobs             map[job.ID]*openJob
-	owner            ident.Process
-	ownerKnown       bool
+	jobs       map[job.ID]*openJob
+	owner      ident.Process
+	ownerKnown bool
+	// whole is set while the fleet is one group.
+	whole            bool
 	keptResults      map[job.ID]keptResult
 	keptResultsByAge []keptResult // oldest first
 	// rejectedJobs holds the jobs with tasks that the owner rejected with
@@ -186,7 +188,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{jobs: map[job.ID]*openJob{}, keptResults: map[job.ID]keptResult{}, rejectedJobs: map[job.ID]bool{}}
+	return &Table{whole: true, jobs: map[job.ID]*openJob{}, keptResults: map[job.ID]keptResult{}, rejectedJobs: map[job.ID]bool{}}
 }
 
 // OpenJobs returns the number of open jobs.
@@ -271,7 +273,7 @@
 	for i := range j.steps {
 		if s := &j.steps[i]; !s.placed && j.ready(i) {
 			s.placed = true
-			orders = append(orders, j.newOrder(now, i))
+			orders = append(orders, t.newOrder(now, j, i))
 		}
 	}
 	if len(orders) > 0 {
@@ -291,11 +293,12 @@
 }
 
 // newOrder returns an order for the tasks of a step that are not done.
-func (j *openJob) newOrder(now time.Time, step int) job.Order {
+func (t *Table) newOrder(now time.Time, j *openJob, step int) job.Order {
 	s := &j.spec.Steps[step]
+	j.steps[step].placedWhole = j.steps[step].placedWhole || t.whole
 	o := job.Order{
 		Job: j.spec.ID, Step: step, Service: j.settings.Service, Payload: j.spec.Payload, Needs: s.Needs,
-		Target: j.target.Sub(now) - j.pathAfter[step], Deadline: j.deadline.Sub(now), MayHaveStarted: j.steps[step].placedAgain, OtherGroup: j.steps[step].otherGroup,
+		Target: j.target.Sub(now) - j.pathAfter[step], Deadline: j.deadline.Sub(now), MayHaveStarted: j.steps[step].placedAgain, PlacedWhole: j.steps[step].placedWhole,
 	}
 	for k := range j.steps[step].tasks {
 		if task := &j.steps[step].tasks[k]; !task.done {
@@ -342,22 +345,15 @@
 				s.tasks[k].minRun += runNumberGap
 			}
 		}
-		orders = append(orders, j.newOrder(now, i))
+		orders = append(orders, t.newOrder(now, j, i))
 		s.placed = true
 	}
 	j.tasksPlaced = true
 	return orders
 }
 
-// HandleGroupChange records that the owners that follow are of another group of
-// endpoints than those before.
-func (t *Table) HandleGroupChange() {
-	for _, j := range t.jobs {
-		for i := range j.steps {
-			j.steps[i].otherGroup = j.steps[i].otherGroup || j.steps[i].placed
-		}
-	}
-}
+// SetWhole records whether the fleet is one group, or each data centre is one.
+func (t *Table) SetWhole(whole bool) { t.whole = whole }
 
 // HandlePause moves deadlines earlier by suspended, the part of a pause of this
 // process that the clock did not count, for example while the machine was
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -63,7 +63,7 @@
 		}
 		if o.MayHaveStarted && t.run == nil {
 			t.foreignStartUntil, t.nextRun = now, max(t.nextRun, o.MinRuns[i])
-			t.otherGroup = t.otherGroup || o.OtherGroup
+			t.otherGroup = t.otherGroup || p.outsideGroup(b.home, o)
 		}
 	}
 	return b
@@ -103,7 +103,7 @@
 	}
 	if o.MayHaveStarted {
 		b.touched = true
-		t.foreignStartUntil, t.otherGroup = now, o.OtherGroup
+		t.foreignStartUntil, t.otherGroup = now, p.outsideGroup(b.home, o)
 	}
 	if !p.finishIfInherited(now, t) {
 		p.enqueue(t)
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -21,6 +21,7 @@
 	// pausedUntil is when the pool may start tasks again after a pause of the
 	// process.
 	pausedUntil time.Time
+	group       Group
 	// owns selects the endpoints that the pool should own.
 	owns            func(Endpoint) bool
 	endpoints       map[ident.EndpointID]*endpoint
@@ -95,7 +96,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	p := &Pool{cfg: cfg, endpoints: map[ident.EndpointID]*endpoint{}}
+	p := &Pool{cfg: cfg, endpoints: map[ident.EndpointID]*endpoint{}, group: Group{Whole: true}}
 	p.clear()
 	return p, nil
 }
@@ -192,11 +193,26 @@
 	return p.Tick(now)
 }
 
-// SetGroup removes the endpoints that are not in the group of this instance any
-// more. Those with runs stay until their homes have withdrawn the tasks.
-func (p *Pool) SetGroup(inGroup func(Endpoint) bool) {
+// Group is the part of the fleet that a pool owns.
+type Group struct {
+	// Whole is set if the group is the whole fleet.
+	Whole bool
+	// Home and Endpoint report whether a process and an endpoint belong to it.
+	Home     func(ident.Process) bool
+	Endpoint func(Endpoint) bool
+}
+
+// SetGroup changes the group. Endpoints outside of it are removed; those with
+// runs stay until their homes have withdrawn the tasks. Waiting tasks that
+// another owner may have started wait until its leases have ended, since the
+// pool no longer polls all endpoints that may run them.
+func (p *Pool) SetGroup(g Group) {
+	p.group = g
+	for _, t := range p.waiting {
+		t.otherGroup = t.otherGroup || !g.Whole
+	}
 	p.sortedEndpoints = slices.DeleteFunc(p.sortedEndpoints, func(e *endpoint) bool {
-		removed := !inGroup(e.Endpoint) && len(e.runs) == 0
+		removed := !g.Endpoint(e.Endpoint) && len(e.runs) == 0
 		if removed {
 			delete(p.endpoints, e.ID)
 		}
@@ -204,6 +220,12 @@
 	})
 }
 
+// outsideGroup reports whether an earlier owner may have started tasks of an
+// order on endpoints outside of the group, where polls do not show their runs.
+func (p *Pool) outsideGroup(home ident.Process, o *job.Order) bool {
+	return !p.group.Whole && (o.PlacedWhole || !p.group.Home(home))
+}
+
 // Tick sends polls and stops that are due, ends waiting tasks whose deadline
 // has passed, drops expired inherited ends, handles expired leases, starts
 // tasks, and refuses waiting tasks that cannot end in time.
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -81,7 +81,7 @@
 			Room:       encodeRoom(o.Needs.Room),
 			EstimateUs: uint32(o.Needs.Estimate.Microseconds()), RequiredLabel: o.Needs.RequiredLabel,
 			Affinity: o.Needs.Affinity, SameRack: o.Needs.SameRack, MaxPerEndpoint: uint32(o.Needs.MaxPerEndpoint),
-			TargetUs: o.Target.Microseconds(), DeadlineUs: o.Deadline.Microseconds(), Handed: o.MayHaveStarted, OtherGroup: o.OtherGroup,
+			TargetUs: o.Target.Microseconds(), DeadlineUs: o.Deadline.Microseconds(), Handed: o.MayHaveStarted, PlacedWhole: o.PlacedWhole,
 		}
 		for k := range o.Indexes {
 			m.Indexes = append(m.Indexes, uint32(o.Indexes[k]))
@@ -109,7 +109,7 @@
 			},
 			Target:         time.Duration(m.GetTargetUs()) * time.Microsecond,
 			Deadline:       time.Duration(m.GetDeadlineUs()) * time.Microsecond,
-			MayHaveStarted: m.GetHanded(), OtherGroup: m.GetOtherGroup(),
+			MayHaveStarted: m.GetHanded(), PlacedWhole: m.GetPlacedWhole(),
 		}
 		for k := range m.GetIndexes() {
 			o.Indexes = append(o.Indexes, int(m.GetIndexes()[k]))
