Ask one peer for a configuration instead of getting it from all

Cause: each instance sent its whole configuration with each heartbeat of a peer that was behind. While the store turns 51 of 147 instances away and the configuration grows to hundreds of routes, each of these gets it from up to 146 peers twice a second (calculated: 100 KB each, more than its link carries), and heartbeats wait behind it. Ruled out: the watch of the store, which is one call an instance.

--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
@@ -71,8 +73,11 @@
 	case *peerpb.Message_StoredConfig:
 		p.activateConfig(body.StoredConfig.GetContent(), "peer "+string(from.Instance))
 		return
+	case *peerpb.Message_ConfigRequest:
+		p.sendConfig(from)
+		return
 	case *peerpb.Message_Pulse:
-		p.sendConfig(now, from, body.Pulse.GetConfigVersion())
+		p.fetchConfig(now, from, body.Pulse.GetConfigVersion())
 	}
 	message, ok := decode(m)
 	if !ok {
@@ -82,21 +87,35 @@
 	p.applyActions(now, p.core.Receive(now, from, message))
 }
 
-// sendConfig sends the active configuration to a peer that has an older
-// version, unless it became active less than configPushDelay ago.
-func (p *Process) sendConfig(now time.Time, to ident.Process, version uint64) {
+// fetchConfig asks a peer for its configuration if that is newer than the active
+// one and the store has not sent it.
+func (p *Process) fetchConfig(now time.Time, from ident.Process, version uint64) {
+	var own uint64
+	if c := p.config.Load(); c != nil {
+		own = c.routes.Version
+	}
+	if !p.configFetcher.Observe(now, own, version) {
+		return
+	}
+	p.log.WithFields(logrus.Fields{"peer": from.Instance, "version": version, "own-version": own}).Info("asking a peer for the configuration")
+	p.sendToPeer(from, &peerpb.Message{Body: &peerpb.Message_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{}}})
+}
+
+// sendConfig sends the active configuration to a peer that has asked for it.
+func (p *Process) sendConfig(to ident.Process) {
 	c := p.config.Load()
-	if c == nil || version >= c.routes.Version || now.Sub(c.activatedAt) < configPushDelay {
+	if c == nil {
 		return
 	}
-	m := &peerpb.Message{Body: &peerpb.Message_StoredConfig{
+	p.sendToPeer(to, &peerpb.Message{Body: &peerpb.Message_StoredConfig{
 		StoredConfig: &peerpb.StoredConfig{Version: c.routes.Version, Content: c.content},
-	}}
+	}})
+}
+
+// sendToPeer sends a message on the traffic stream. A message that cannot be
+// sent is only counted.
+func (p *Process) sendToPeer(to ident.Process, m *peerpb.Message) {
 	if !p.mesh.Send(to.Instance, to.Incarnation, false, m) {
 		p.counters.messagesUnsent.Inc()
 	}
 }
-
-// configPushDelay gives a peer time to read a new configuration from the store
-// itself before it is sent one.
-const configPushDelay = 400 * time.Millisecond
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -15,6 +15,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/configfetch"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
@@ -53,7 +54,9 @@
 	members []Member
 	// linkTargets holds the other instances that the mesh keeps links to.
 	linkTargets map[ident.InstanceID]Member
-	lastTick    time.Time
+	// configFetcher decides when to ask a peer for the configuration.
+	configFetcher configfetch.Fetcher
+	lastTick      time.Time
 	// lastStateLog is when the owner's state was last logged.
 	lastStateLog  time.Time
 	sinceStateLog sinceStateLog
@@ -65,9 +68,8 @@
 
 // activeConfig is the configuration in use, with its encoded content for peers.
 type activeConfig struct {
-	routes      *route.Table
-	content     []byte
-	activatedAt time.Time
+	routes  *route.Table
+	content []byte
 }
 
 // postCapacity is the capacity of Process.posts in functions. Goroutines that
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -61,7 +61,7 @@
 		p.log.WithError(err).WithField("source", source).Error("cannot decode the configuration")
 		return
 	}
-	next := &activeConfig{routes: routes, content: slices.Clone(content), activatedAt: p.settings.Clock.Now()}
+	next := &activeConfig{routes: routes, content: slices.Clone(content)}
 	for {
 		old := p.config.Load()
 		if old != nil && old.routes.Version >= routes.Version {
