--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -135,8 +135,10 @@
 	Target   time.Duration
 	Deadline time.Duration
 	// MayHaveStarted is set if another owner may already have started the
-	// tasks.
+	// tasks. PlacedWhole is set if that owner may have owned the endpoints of
+	// the whole fleet, and not only those of the home's data centre.
 	MayHaveStarted bool
+	PlacedWhole    bool
 }
 
 // Outcome is the outcome of a task, as the owner reports it to the home.
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -9,6 +9,7 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/congestion"
 )
 
 // Pool is the state of an owner: its endpoints, their runs and the waiting
@@ -20,6 +21,7 @@
 	// pausedUntil is when the pool may start tasks again after a pause of the
 	// process.
 	pausedUntil time.Time
+	group       Group
 	// owns selects the endpoints that the pool should own.
 	owns            func(Endpoint) bool
 	endpoints       map[ident.EndpointID]*endpoint
@@ -30,6 +32,9 @@
 	// batchesByJob holds the batches of each job, from any home.
 	batchesByJob map[job.ID][]*batch
 	waiting      []*task // by startBy
+	// started holds batches of which some tasks have started and others may
+	// wait, in the order in which they started.
+	started []*batch
 	// runsByTask holds the runs of each task that still occupy an endpoint.
 	runsByTask map[job.Key][]*run
 	// inheritedEnds holds the ends of tasks that were done under an earlier
@@ -41,6 +46,12 @@
 	// a poll.
 	unreliableCount int
 	latency         latencyEstimator
+	// window bounds startsInFlight, the starts that are reserved or sent and
+	// not answered. heldBack is set when it has kept tasks from starting since
+	// tasks were last started.
+	window         *congestion.Window
+	startsInFlight int
+	heldBack       bool
 	// probesInFlight counts the polls in flight to endpoints that are not held.
 	probesInFlight int
 	// sweptAt is when the last sweep took place. sweepDue is set when tasks
@@ -57,6 +68,10 @@
 	// groupSlowdowns holds the learned ratio of run time to estimate for each
 	// group of similar endpoints.
 	groupSlowdowns map[speedGroup]*slowdown
+	loads          map[loadID]*load
+	// shedAt is when the waiting tasks were last searched for those that are
+	// overdue or hopeless.
+	shedAt time.Time
 }
 
 // inFlightCall is a call that is not answered yet: a poll of an endpoint, or
@@ -81,7 +96,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	p := &Pool{cfg: cfg, endpoints: map[ident.EndpointID]*endpoint{}}
+	p := &Pool{cfg: cfg, endpoints: map[ident.EndpointID]*endpoint{}, group: Group{Whole: true}}
 	p.clear()
 	return p, nil
 }
@@ -89,14 +104,16 @@
 func (p *Pool) clear() {
 	p.batches = map[batchID]*batch{}
 	p.batchesByJob = map[job.ID][]*batch{}
-	p.waiting = nil
+	p.waiting, p.started = nil, nil
 	p.runsByTask = map[job.Key][]*run{}
 	p.inheritedEnds = map[job.Key]inheritedEnd{}
 	p.inFlight = map[uint64]inFlightCall{}
 	p.pendingEnds = map[ident.Process][]job.TaskEnd{}
 	p.groupSlowdowns = map[speedGroup]*slowdown{}
 	p.taskClasses = map[taskClassID]*taskClass{}
+	p.loads, p.shedAt = map[loadID]*load{}, time.Time{}
 	p.probesInFlight, p.sweptAt, p.sweepDue = 0, time.Time{}, false
+	p.window, p.startsInFlight, p.heldBack = congestion.New(congestion.Config{}), 0, false
 	for _, e := range p.endpoints {
 		e.reset()
 	}
@@ -176,9 +193,42 @@
 	return p.Tick(now)
 }
 
+// Group is the part of the fleet that a pool owns.
+type Group struct {
+	// Whole is set if the group is the whole fleet.
+	Whole bool
+	// Home and Endpoint report whether a process and an endpoint belong to it.
+	Home     func(ident.Process) bool
+	Endpoint func(Endpoint) bool
+}
+
+// SetGroup changes the group. Endpoints outside of it are removed; those with
+// runs stay until their homes have withdrawn the tasks. Waiting tasks that
+// another owner may have started wait until its leases have ended, since the
+// pool no longer polls all endpoints that may run them.
+func (p *Pool) SetGroup(g Group) {
+	p.group = g
+	for _, t := range p.waiting {
+		t.otherGroup = t.otherGroup || !g.Whole
+	}
+	p.sortedEndpoints = slices.DeleteFunc(p.sortedEndpoints, func(e *endpoint) bool {
+		removed := !g.Endpoint(e.Endpoint) && len(e.runs) == 0
+		if removed {
+			delete(p.endpoints, e.ID)
+		}
+		return removed
+	})
+}
+
+// outsideGroup reports whether an earlier owner may have started tasks of an
+// order on endpoints outside of the group, where polls do not show their runs.
+func (p *Pool) outsideGroup(home ident.Process, o *job.Order) bool {
+	return !p.group.Whole && (o.PlacedWhole || !p.group.Home(home))
+}
+
 // Tick sends polls and stops that are due, ends waiting tasks whose deadline
-// has passed, drops expired inherited ends, handles expired leases, and starts
-// tasks.
+// has passed, drops expired inherited ends, handles expired leases, starts
+// tasks, and refuses waiting tasks that cannot end in time.
 func (p *Pool) Tick(now time.Time) []Action {
 	if p.active {
 		p.sweep(now)
@@ -191,7 +241,12 @@
 		for _, e := range p.sortedEndpoints {
 			p.maintain(now, e)
 		}
-		p.expireWaiting(now)
+		p.expireInherited(now)
+		if now.Sub(p.shedAt) >= shedInterval {
+			p.shedAt = now
+			p.expireWaiting(now)
+			p.shed(now)
+		}
 		p.dispatch(now)
 	}
 	return p.flush()
@@ -228,7 +283,7 @@
 func (p *Pool) newCall(e *endpoint) Call {
 	p.lastCall++
 	return Call{
-		Number: p.lastCall, Endpoint: e.ID, Address: e.Address, Fence: e.fence, Timeout: p.latency.timeout(&p.cfg),
+		Number: p.lastCall, Endpoint: e.ID, Address: e.Address, Fence: e.fence, Timeout: p.latency.timeout(&p.cfg, p.window.Congested()),
 	}
 }
 
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -15,6 +15,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/configfetch"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
@@ -35,9 +36,8 @@
 	// config is nil until a configuration has been read.
 	config   atomic.Pointer[activeConfig]
 	draining atomic.Bool
-	// ownershipGained wakes runEndpointList when this instance has become the
-	// owner of the endpoints.
-	ownershipGained chan struct{}
+	// readListNow wakes runEndpointList.
+	readListNow chan struct{}
 	// ownerKnown is set while some instance is known to own the endpoints.
 	ownerKnown atomic.Bool
 	// ctx ends when the process has drained and stops.
@@ -50,9 +50,13 @@
 	// answer.
 	replies     map[home.RequestID]chan<- home.Answer
 	nextRequest home.RequestID
+	// members holds the instances that the store last listed.
+	members []Member
 	// linkTargets holds the other instances that the mesh keeps links to.
 	linkTargets map[ident.InstanceID]Member
-	lastTick    time.Time
+	// configFetcher decides when to ask a peer for the configuration.
+	configFetcher configfetch.Fetcher
+	lastTick      time.Time
 	// lastStateLog is when the owner's state was last logged.
 	lastStateLog  time.Time
 	sinceStateLog sinceStateLog
@@ -64,9 +68,8 @@
 
 // activeConfig is the configuration in use, with its encoded content for peers.
 type activeConfig struct {
-	routes      *route.Table
-	content     []byte
-	activatedAt time.Time
+	routes  *route.Table
+	content []byte
 }
 
 // postCapacity is the capacity of Process.posts in functions. Goroutines that
@@ -83,12 +86,12 @@
 	now := settings.Clock.Now()
 	p := &Process{
 		settings: settings, ports: ports, metrics: metrics.NewSet(),
-		self:            ident.Process{Instance: settings.Instance, Incarnation: newIncarnation(now)},
-		posts:           make(chan func(time.Time), postCapacity),
-		ownershipGained: make(chan struct{}, 1),
-		replies:         map[home.RequestID]chan<- home.Answer{},
-		linkTargets:     map[ident.InstanceID]Member{},
-		log:             settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
+		self:        ident.Process{Instance: settings.Instance, Incarnation: newIncarnation(now)},
+		posts:       make(chan func(time.Time), postCapacity),
+		readListNow: make(chan struct{}, 1),
+		replies:     map[home.RequestID]chan<- home.Answer{},
+		linkTargets: map[ident.InstanceID]Member{},
+		log:         settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
 	}
 	p.jobs = &Jobs{process: p}
 	var err error
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -60,7 +61,7 @@
 		p.log.WithError(err).WithField("source", source).Error("cannot decode the configuration")
 		return
 	}
-	next := &activeConfig{routes: routes, content: slices.Clone(content), activatedAt: p.settings.Clock.Now()}
+	next := &activeConfig{routes: routes, content: slices.Clone(content)}
 	for {
 		old := p.config.Load()
 		if old != nil && old.routes.Version >= routes.Version {
@@ -78,11 +79,12 @@
 // each MemberInterval. It revokes the lease of the key when ctx ends.
 func (p *Process) runMembership(ctx context.Context) error {
 	var lease LeaseID
+	var cache memberCache
 	dep := dependency{log: p.log.WithField("dependency", "members in the store")}
-	own := Member{Process: p.self, DataCentre: p.settings.DataCentre, Address: p.settings.PeerAddress}
+	own := Member{Process: p.self, DataCentre: p.settings.DataCentre, Address: p.settings.PeerAddress, Strength: p.settings.Leader.Strength}
 	for round := 0; ctx.Err() == nil; round++ {
 		call, cancel := context.WithTimeout(ctx, p.settings.StoreTimeout)
-		err := p.renewMembership(call, own, &lease)
+		err := p.renewMembership(call, own, &lease, &cache)
 		cancel()
 		dep.report(err)
 		interval := p.settings.MemberInterval
@@ -116,7 +118,7 @@
 // renewMembership renews the lease of this instance's key and reads the
 // members. It requests a new lease when the old one has expired, and writes the
 // key again when the lease is new or the key is missing.
-func (p *Process) renewMembership(ctx context.Context, own Member, lease *LeaseID) error {
+func (p *Process) renewMembership(ctx context.Context, own Member, lease *LeaseID, cache *memberCache) error {
 	newLease := false
 	if *lease != 0 {
 		alive, err := p.ports.Store.RenewLease(ctx, *lease)
@@ -134,10 +136,15 @@
 		}
 		*lease, newLease = id, true
 	}
-	list, err := p.ports.Store.Members(ctx)
+	update, err := p.ports.Store.Members(ctx, cache.revision)
+	if fault.KindOf(err) == fault.StoreConflict {
+		*cache = memberCache{}
+		update, err = p.ports.Store.Members(ctx, cache.revision)
+	}
 	if err != nil {
 		return err
 	}
+	list := cache.apply(update)
 	registered := slices.ContainsFunc(list, func(m Member) bool { return m.Process == own.Process })
 	if newLease || !registered {
 		ok, err := p.ports.Store.Register(ctx, own, *lease)
@@ -158,20 +165,27 @@
 func (p *Process) handleMembers(now time.Time, list []Member) {
 	members := make([]leader.Member, len(list))
 	for i, m := range list {
-		members[i] = leader.Member{Instance: m.Process.Instance, DataCentre: m.DataCentre}
+		members[i] = leader.Member{Instance: m.Process.Instance, DataCentre: m.DataCentre, Strength: m.Strength}
 	}
 	p.core.SetMembers(now, members)
+	p.members = list
+	p.selectTargets()
+}
+
+// selectTargets updates linkTargets to the members of this instance's group.
+func (p *Process) selectTargets() {
 	targets := map[ident.InstanceID]Member{}
 	for id, m := range p.linkTargets {
 		if _, linked := p.mesh.ConnectedProcess(id); linked {
 			targets[id] = m
 		}
 	}
-	for _, m := range list {
+	for _, m := range p.members {
 		if m.Process.Instance != p.self.Instance {
 			targets[m.Process.Instance] = m
 		}
 	}
+	maps.DeleteFunc(targets, func(_ ident.InstanceID, m Member) bool { return !p.core.MayLink(m.DataCentre) })
 	p.linkTargets = targets
 	p.updateTargets()
 }
@@ -179,46 +193,61 @@
 // runEndpointList reads the list of endpoints from the store at each
 // ListInterval while the core needs it; see Core.NeedsEndpoints.
 func (p *Process) runEndpointList(ctx context.Context) error {
+	var cache endpointCache
 	dep := dependency{log: p.log.WithField("dependency", "list of endpoints in the store")}
 	for ctx.Err() == nil {
 		if !p.endpointListNeeded() {
-			p.waitForOwnership(p.settings.ListInterval)
+			cache = endpointCache{}
+			p.waitForListRequest(p.settings.ListInterval)
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, p.settings.StoreTimeout)
-		list, err := p.ports.Store.Endpoints(call)
+		update, err := p.ports.Store.Endpoints(call, cache.revision)
 		cancel()
+		if fault.KindOf(err) == fault.StoreConflict {
+			cache = endpointCache{}
+			continue
+		}
 		dep.report(err)
 		if err != nil {
 			p.counters.storeFailures.Inc()
 			p.sleep(storeRetryDelay)
 			continue
 		}
+		list := cache.apply(update)
 		p.post(func(now time.Time) { p.handleEndpointList(now, list) })
-		p.waitForOwnership(p.settings.ListInterval)
+		p.waitForListRequest(p.settings.ListInterval)
 	}
 	return nil
 }
 
-// waitForOwnership waits for d, or until this instance becomes the owner of the
-// endpoints. A task that the previous owner may have started is started again
-// only after the new owner has read a newer list and polled all its endpoints,
-// so a new owner reads the list at once.
-func (p *Process) waitForOwnership(d time.Duration) {
+// waitForListRequest waits for d, or until the list is needed at once: a task
+// that the previous owner may have started is started again only after a new
+// owner has read a newer list and polled all its endpoints, and an owner that
+// cannot read the list asks peers for it.
+func (p *Process) waitForListRequest(d time.Duration) {
 	done := make(chan struct{})
 	timer := p.settings.Clock.AfterFunc(d, func() { close(done) })
 	defer timer.Stop()
 	select {
 	case <-done:
-	case <-p.ownershipGained:
+	case <-p.readListNow:
 	case <-p.ctx.Done():
 	}
 }
 
+// requestListRead wakes runEndpointList.
+func (p *Process) requestListRead() {
+	select {
+	case p.readListNow <- struct{}{}:
+	default:
+	}
+}
+
 // endpointListNeeded reports whether the core needs the list of endpoints to be
 // read.
 func (p *Process) endpointListNeeded() (endpointListNeeded bool) {
-	p.jobs.runOnLoop(func(time.Time) { endpointListNeeded = p.core.NeedsEndpoints() })
+	p.jobs.runOnLoop(func(now time.Time) { endpointListNeeded = p.core.NeedsEndpoints(now) })
 	return endpointListNeeded
 }
 
