Divide fleets of many instances before they all link to each other

Ruled out: the store, which turned away other instances than these, and earlier. Change: the layout is decided once endpoints are listed, and until then instances link within their data centre; with more than 64 instances the fleet is divided at once.

--- a/internal/decide/dispatcher/groups.go
+++ b/internal/decide/dispatcher/groups.go
@@ -73,7 +73,8 @@
 		return
 	}
 	before := c.groups.decider.Layout()
-	if !c.groups.decider.Update(now, len(c.list.Endpoints()), c.largestOwner()) {
+	fleet := group.Fleet{Members: len(c.groups.members), Endpoints: len(c.list.Endpoints()), LargestOwner: c.largestOwner()}
+	if !c.groups.decider.Update(now, fleet) {
 		return
 	}
 	c.view.Hold(false)
--- a/internal/decide/group/layout.go
+++ b/internal/decide/group/layout.go
@@ -1,6 +1,7 @@
 // Package group decides which instances and endpoints form a group with an
 // owner of its own. It answers a fleet that has outgrown a single owner: more
-// endpoints than the strongest instance can start tasks on.
+// endpoints than the strongest instance can start tasks on, or more instances
+// than the weakest one can keep links to.
 //
 // A fleet is one group as long as an instance can own all endpoints, since one
 // view of all endpoints serves callers best. Beyond that each data centre is a
@@ -61,6 +62,9 @@
 	return int(n)
 }
 
+// maxMembers is the number of instances up to which all link to each other.
+const maxMembers = 64
+
 // changeDelay is how long the layout must differ before it changes: the list of
 // members lacks instances that are just starting.
 const changeDelay = 2 * time.Second
@@ -75,20 +79,37 @@
 // Layout returns the layout that is in use.
 func (d *Decider) Layout() Layout { return d.layout }
 
-// Update decides from the number of listed endpoints and the number that the
-// strongest instance can own, where zero means unknown. It reports whether the
-// layout has changed. The first decision takes effect at once, later ones after
-// changeDelay.
-func (d *Decider) Update(now time.Time, endpoints, largestOwner int) bool {
-	wanted := Whole
-	if largestOwner > 0 && endpoints > largestOwner {
-		wanted = ByDataCentre
+// Fleet is what the layout depends on.
+type Fleet struct {
+	// Members and Endpoints are the numbers of listed instances and endpoints.
+	Members, Endpoints int
+	// LargestOwner is the number of endpoints that the strongest instance can
+	// own, or zero if unknown.
+	LargestOwner int
+}
+
+// layout returns the layout that suits the fleet.
+func (f Fleet) layout() Layout {
+	if f.Members > maxMembers || (f.LargestOwner > 0 && f.Endpoints > f.LargestOwner) {
+		return ByDataCentre
+	}
+	return Whole
+}
+
+// Update decides on the layout and reports whether it has changed. It does so
+// only once endpoints are listed. The first decision takes effect at once, and
+// so does one for too many members, since lists lack members but do not invent
+// them. Others take effect after changeDelay.
+func (d *Decider) Update(now time.Time, f Fleet) bool {
+	if f.Endpoints == 0 {
+		return false
 	}
+	wanted := f.layout()
 	switch {
 	case wanted == d.layout:
 		d.differsSince = time.Time{}
 		return false
-	case d.layout == Unknown:
+	case d.layout == Unknown, f.Members > maxMembers:
 	case d.differsSince.IsZero():
 		d.differsSince = now
 		return false
