--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -148,13 +148,9 @@
 	deadline      = 1500 * time.Millisecond
 )
 
-func newFleet(t testing.TB, seed uint64, instances, endpoints int) *fleet {
-	return newFleetOf(t, seed, instances, endpoints, group.Strength{})
-}
-
-// newFleetOf returns a fleet whose instances can own as many endpoints as
-// strength allows.
-func newFleetOf(t testing.TB, seed uint64, instances, endpoints int, strength group.Strength) *fleet {
+// newFleet returns a fleet whose instances can own as many endpoints as strength
+// allows.
+func newFleet(t testing.TB, seed uint64, instances, endpoints int, strength group.Strength) *fleet {
 	f := &fleet{
 		strength: strength,
 		t:        t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
--- a/internal/decide/dispatcher/schedule_test.go
+++ b/internal/decide/dispatcher/schedule_test.go
@@ -48,7 +48,7 @@
 	if seed%2 == 1 {
 		strength.Processors = 9
 	}
-	f := newFleetOf(t, seed, 4, 6, strength)
+	f := newFleet(t, seed, 4, 6, strength)
 	f.run(time.Second)
 	for range 300 {
 		f.randomEvent()
--- a/internal/decide/group/layout.go
+++ b/internal/decide/group/layout.go
@@ -15,12 +15,12 @@
 // Layout says how the fleet is divided.
 type Layout int
 
+// The layouts. With Whole the fleet is one group, and with ByDataCentre each
+// data centre is one. While the layout is Unknown, not enough is known yet to
+// decide.
 const (
-	// Unknown: not enough is known yet to decide.
 	Unknown Layout = iota
-	// Whole: the fleet is one group.
 	Whole
-	// ByDataCentre: each data centre is a group.
 	ByDataCentre
 )
 
