Start nothing in a data centre that the operator is emptying

Ruled out: taking it for a drain of the endpoints, which the list does not show. Change: all instances watch what the operator writes under one prefix in place of the configuration alone, at the same number of calls, so that a new owner knows the evacuations. Endpoints in evacuated data centres get no starts and count for no room. The watch continues from the latest change, as the lists do.

--- a/internal/decide/dispatcher/endpoints.go
+++ b/internal/decide/dispatcher/endpoints.go
@@ -32,6 +32,12 @@
 	return c.flush(), !changes.Empty()
 }
 
+// SetEvacuated sets the data centres whose endpoints get no more starts.
+func (c *Core) SetEvacuated(now time.Time, dcs []ident.DataCentre) []Action {
+	c.applyPoolActions(now, c.pool.SetEvacuated(now, dcs))
+	return c.flush()
+}
+
 // updateEndpoints passes the list to the pool.
 func (c *Core) updateEndpoints(now time.Time) {
 	c.updateLayout(now)
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -153,7 +153,7 @@
 // canStart reports whether the endpoint may start tasks and has free
 // processors.
 func (p *Pool) canStart(now time.Time, e *endpoint) bool {
-	return e.free().CPU > 0 && !e.probationBusy() && e.usable(now, p.cfg.MissingGrace) && p.owns(e.Endpoint)
+	return e.free().CPU > 0 && !e.probationBusy() && !p.evacuated[e.DataCentre] && e.usable(now, p.cfg.MissingGrace) && p.owns(e.Endpoint)
 }
 
 // startable returns the endpoints that may start tasks and have free
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -23,7 +23,9 @@
 	pausedUntil time.Time
 	group       Group
 	// owns selects the endpoints that the pool should own.
-	owns            func(Endpoint) bool
+	owns func(Endpoint) bool
+	// evacuated holds the data centres whose endpoints get no more starts.
+	evacuated       map[ident.DataCentre]bool
 	endpoints       map[ident.EndpointID]*endpoint
 	sortedEndpoints []*endpoint // by ID, so that decisions are deterministic
 	// listedAt is when the list of endpoints was read.
@@ -193,6 +195,16 @@
 	return p.Tick(now)
 }
 
+// SetEvacuated sets the data centres whose endpoints get no more starts. What
+// runs there goes on.
+func (p *Pool) SetEvacuated(now time.Time, dcs []ident.DataCentre) []Action {
+	p.evacuated = map[ident.DataCentre]bool{}
+	for _, dc := range dcs {
+		p.evacuated[dc] = true
+	}
+	return p.Tick(now)
+}
+
 // Group is the part of the fleet that a pool owns.
 type Group struct {
 	// Whole is set if the group is the whole fleet.
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -50,7 +50,7 @@
 		l.capacity = admission.Capacity{}
 	}
 	for _, e := range p.sortedEndpoints {
-		if e.Draining || !e.missingSince.IsZero() || e.ownership == ownershipForeign || !p.owns(e.Endpoint) {
+		if e.Draining || p.evacuated[e.DataCentre] || !e.missingSince.IsZero() || e.ownership == ownershipForeign || !p.owns(e.Endpoint) {
 			continue
 		}
 		ratio := e.slowdown.blendedRatio(p.slowdownOfGroup(e))
--- a/internal/process/dispatch/ports.go
+++ b/internal/process/dispatch/ports.go
@@ -45,13 +45,12 @@
 
 // Store holds the calls to the platform's store. Errors are *fault.Error.
 type Store struct {
-	// Config reads the configuration and the store's revision. The content is
-	// nil when there is none.
-	Config func(ctx context.Context) ([]byte, StoreRevision, error)
-	// WatchConfig waits up to wait for a configuration that is newer than
-	// revision after; the content is nil when there was none. After an error of
-	// kind fault.StoreConflict the configuration must be read with Config.
-	WatchConfig func(ctx context.Context, after StoreRevision, wait time.Duration) ([]byte, StoreRevision, error)
+	// Operator reads what the operator has written.
+	Operator func(ctx context.Context) (OperatorUpdate, error)
+	// WatchOperator waits up to wait for what the operator writes after a
+	// revision. After an error of kind fault.StoreConflict the whole must be
+	// read with Operator.
+	WatchOperator func(ctx context.Context, after StoreRevision, wait time.Duration) (OperatorUpdate, error)
 	// Endpoints reads the list of endpoints if after is zero, and what has
 	// changed after that revision otherwise. Members does the same for the keys
 	// of the instances. After an error of kind fault.StoreConflict the whole
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -164,7 +164,7 @@
 		c, cancel := context.WithCancel(processCtx)
 		g.Add(func() error { return f(c) }, func(error) { cancel() })
 	}
-	add(p.runConfig)
+	add(p.runOperator)
 	add(p.runMembership)
 	add(p.runEndpointList)
 	add(p.runReload)
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -18,41 +18,6 @@
 // the call that revokes the lease when the process ends.
 const storeRetryDelay = 200 * time.Millisecond
 
-// runConfig reads the configuration from the store and then watches it for
-// changes. It reads it again when the watch reports fault.StoreConflict.
-func (p *Process) runConfig(ctx context.Context) error {
-	var revision StoreRevision
-	dep := dependency{log: p.log.WithField("dependency", "configuration in the store")}
-	for ctx.Err() == nil {
-		var content []byte
-		var err error
-		if revision == 0 {
-			call, cancel := context.WithTimeout(ctx, p.settings.StoreTimeout)
-			content, revision, err = p.ports.Store.Config(call)
-			cancel()
-		} else {
-			var next StoreRevision
-			content, next, err = p.ports.Store.WatchConfig(ctx, revision, p.settings.WatchWait)
-			if err == nil {
-				revision = max(revision, next)
-			}
-		}
-		dep.report(err)
-		switch {
-		case fault.KindOf(err) == fault.StoreConflict:
-			revision = 0
-		case err != nil:
-			p.counters.storeFailures.Inc()
-			p.sleep(storeRetryDelay)
-		case content != nil:
-			p.activateConfig(content, "store")
-		case revision == 0:
-			p.sleep(storeRetryDelay)
-		}
-	}
-	return nil
-}
-
 // activateConfig decodes a configuration and makes it the active one, unless
 // the active one has the same or a higher version.
 func (p *Process) activateConfig(content []byte, source string) {
