Tell loss from congestion by the calls that are answered

Cause: found by thought on the review: a call that was given up counted with its time-out. Change: calls that were given up count only from the sixteenth in a row without an answer on; a full link loses all, endpoints lose some. Test: TestLossIsNotCongestion, half of the calls lost: failing before.

--- a/internal/decide/congestion/window.go
+++ b/internal/decide/congestion/window.go
@@ -3,9 +3,9 @@
 // processor carries: more starts in flight would then only wait in queues until
 // they time out, and their repeats would fill the link further.
 //
-// A Window tells congestion from loss: a few endpoints that do not answer
-// hardly change the mean latency of all calls, while a full link delays each of
-// them. A Window is a deterministic state machine.
+// A Window tells congestion from loss: calls that are not answered say nothing
+// as long as others are answered fast, while a full link delays each of them. A
+// Window is a deterministic state machine.
 package congestion
 
 import "time"
@@ -46,6 +46,9 @@
 	// growth is by how much an answered call enlarges the window: by a quarter
 	// in the time of one round trip.
 	growth = 0.25
+	// minLosses is the number of calls in a row without an answer from which on
+	// they count as late: an endpoint loses some answers, a full link all.
+	minLosses = 16
 	// resumeParts is the number of parts of the window of which one must be
 	// free, so that held back calls are sent a few at a time.
 	resumeParts = 4
@@ -57,8 +60,12 @@
 type Window struct {
 	cfg  Config
 	size float64
-	// mean is the mean latency, zero before the first call.
+	// mean is the mean latency of answered calls, zero before the first one.
+	// Calls that are given up count if lossesInRow shows that none is answered.
 	mean time.Duration
+	// lossesInRow is the number of calls that were given up since the last
+	// answer.
+	lossesInRow int
 	// base and previousBase are the least latencies of the current and of the
 	// previous period of Config.BaseAge.
 	base, previousBase time.Duration
@@ -87,12 +94,12 @@
 // which it was given up, with the number of calls that are still in flight.
 func (w *Window) Observe(now time.Time, latency time.Duration, answered bool, inFlight int) {
 	if answered {
+		w.lossesInRow = 0
 		w.observeBase(now, latency)
+	} else if w.lossesInRow++; w.lossesInRow < minLosses {
+		return
 	}
 	if w.mean == 0 {
-		if !answered {
-			return // nothing to compare it with
-		}
 		w.mean = latency
 	}
 	w.mean += time.Duration(meanShare * float64(latency-w.mean))
--- a/internal/decide/congestion/window_test.go
+++ b/internal/decide/congestion/window_test.go
@@ -89,20 +89,31 @@
 	}
 }
 
-// TestSilentEndpoints guards against a window that takes endpoints which do not
-// answer for congestion.
-func TestSilentEndpoints(t *testing.T) {
-	is := is.New(t)
-	w := congestion.New(congestion.Config{})
-	now := time.Unix(1_800_000_000, 0)
-	for i := range 2000 {
-		now = now.Add(time.Millisecond)
-		if i%6 == 0 {
-			w.Observe(now, 60*time.Millisecond, false, 20)
-		} else {
-			w.Observe(now, 3*time.Millisecond, true, 20)
-		}
-		is.True(!w.Congested())
+// TestLossIsNotCongestion guards against a window that takes endpoints which do
+// not answer for congestion, also if they are half of all, and against one that
+// never shrinks since no call is answered at all.
+func TestLossIsNotCongestion(t *testing.T) {
+	for name, lost := range map[string]int{"a sixth": 6, "half": 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := congestion.New(congestion.Config{})
+			now := time.Unix(1_800_000_000, 0)
+			for i := range 4000 {
+				now = now.Add(time.Millisecond)
+				if i%lost == 0 {
+					w.Observe(now, 120*time.Millisecond, false, 20)
+				} else {
+					w.Observe(now, 3*time.Millisecond, true, 20)
+				}
+				is.True(!w.Congested())
+			}
+			is.Equal(w.Interval(), time.Duration(0))
+			before := w.Free(0)
+			for range 200 {
+				now = now.Add(10 * time.Millisecond)
+				w.Observe(now, 120*time.Millisecond, false, 20)
+			}
+			is.True(w.Free(0) < before/4)
+		})
 	}
-	is.Equal(w.Interval(), time.Duration(0))
 }
