Count losses as congestion when the answers that arrive are slow

Answers of an overloaded owner are cut off by their time-out, so that those which arrive have a mean below the limit; since losses do not count, nothing shows congestion then. Test: TestLossBesideSlowAnswersIsCongestion.

--- a/internal/decide/congestion/window.go
+++ b/internal/decide/congestion/window.go
@@ -46,6 +46,9 @@
 	// growth is by how much an answered call enlarges the window: by a quarter
 	// in the time of one round trip.
 	growth = 0.25
+	// fastPart is the part of Config.Queueing up to which answered calls count
+	// as fast.
+	fastPart = 4
 	// minLosses is the number of calls in a row without an answer from which on
 	// they count as late: an endpoint loses some answers, a full link all.
 	minLosses = 16
@@ -60,9 +63,10 @@
 type Window struct {
 	cfg  Config
 	size float64
-	// mean is the mean latency of answered calls, zero before the first one.
-	// Calls that are given up count if lossesInRow shows that none is answered.
-	mean time.Duration
+	// answered is the mean latency of answered calls, zero before the first one,
+	// and mean that of all calls that count; see isLoss.
+	answered time.Duration
+	mean     time.Duration
 	// lossesInRow is the number of calls that were given up since the last
 	// answer.
 	lossesInRow int
@@ -96,13 +100,11 @@
 	if answered {
 		w.lossesInRow = 0
 		w.observeBase(now, latency)
-	} else if w.lossesInRow++; w.lossesInRow < minLosses {
+		w.answered = average(w.answered, latency)
+	} else if w.lossesInRow++; w.isLoss() {
 		return
 	}
-	if w.mean == 0 {
-		w.mean = latency
-	}
-	w.mean += time.Duration(meanShare * float64(latency-w.mean))
+	w.mean = average(w.mean, latency)
 	switch {
 	case w.Congested():
 		w.shrink(now)
@@ -111,6 +113,22 @@
 	}
 }
 
+// isLoss reports whether a call that was given up counts as lost by its
+// endpoint, and not as late: others are answered without waiting in queues.
+func (w *Window) isLoss() bool {
+	fast := w.answered <= w.leastLatency()+w.cfg.Queueing/fastPart
+	return fast && w.lossesInRow < minLosses
+}
+
+// average returns a moving average with the next value, or that value if there
+// is none before.
+func average(mean, next time.Duration) time.Duration {
+	if mean == 0 {
+		return next
+	}
+	return mean + time.Duration(meanShare*float64(next-mean))
+}
+
 // observeBase updates the least latency.
 func (w *Window) observeBase(now time.Time, latency time.Duration) {
 	if now.Sub(w.baseSince) >= w.cfg.BaseAge {
--- a/internal/decide/congestion/window_test.go
+++ b/internal/decide/congestion/window_test.go
@@ -117,3 +117,22 @@
 		})
 	}
 }
+
+// TestLossBesideSlowAnswersIsCongestion guards against an overloaded owner whose
+// answers are cut off by their time-out, so that those which arrive seem fast
+// enough.
+func TestLossBesideSlowAnswersIsCongestion(t *testing.T) {
+	is := is.New(t)
+	w := congestion.New(congestion.Config{})
+	now := time.Unix(1_800_000_000, 0)
+	w.Observe(now, 3*time.Millisecond, true, 20)
+	for i := range 400 {
+		now = now.Add(time.Millisecond)
+		if i%5 < 2 {
+			w.Observe(now, 90*time.Millisecond, false, 20)
+		} else {
+			w.Observe(now, 30*time.Millisecond, true, 20)
+		}
+	}
+	is.True(w.Congested())
+}
