Make a long queue of waiting tasks cheaper

The profile shows 0.30 of 1.62 s in removals from the sorted queue, one by one, and 0.21 s in allPolledSince, which each of three searches of a start computes although only tasks of another owner need it.

--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
@@ -12,7 +14,7 @@
 func (p *Pool) dispatch(now time.Time) {
 	p.heldBack = false
 	if p.mayStart(now) {
-		p.startWaiting(now, p.startable(now), len(p.waiting))
+		p.startWaiting(now, p.startable(now), math.MaxInt)
 	}
 }
 
@@ -61,7 +63,7 @@
 // mayStart reports whether there are waiting tasks that the pool may start. It
 // also records that the window holds them back.
 func (p *Pool) mayStart(now time.Time) bool {
-	if !p.active || len(p.waiting) == 0 || now.Before(p.pausedUntil) {
+	if !p.active || p.waiting.len() == 0 || now.Before(p.pausedUntil) {
 		return false
 	}
 	if p.window.Free(p.startsInFlight) == 0 {
@@ -80,10 +82,11 @@
 	if len(startable) == 0 {
 		return
 	}
-	first := p.firstInTime(now)
+	p.waiting.compact()
+	late, inTime := p.waiting.split(now)
 	reserved := p.reserveRoom(now, p.startedRest(), &startable)
-	reserved = append(reserved, p.reserveRoom(now, p.waiting[first:min(first+limit, len(p.waiting))], &startable)...)
-	reserved = append(reserved, p.reserveRoom(now, p.waiting[:min(first, limit)], &startable)...)
+	reserved = append(reserved, p.reserveRoom(now, inTime[:min(limit, len(inTime))], &startable)...)
+	reserved = append(reserved, p.reserveRoom(now, late[:min(limit, len(late))], &startable)...)
 	p.startReserved(now, reserved)
 }
 
@@ -118,38 +121,13 @@
 	}
 }
 
-// firstInTime returns the position of the first waiting task that can still
-// meet its target.
-func (p *Pool) firstInTime(now time.Time) int {
-	first, _ := slices.BinarySearchFunc(p.waiting, now, func(t *task, now time.Time) int {
-		if t.batch.startBy().Before(now) {
-			return -1
-		}
-		return 1
-	})
-	return first
-}
-
 // startReserved starts tasks whose room is reserved.
 func (p *Pool) startReserved(now time.Time, reserved []*task) {
-	if len(reserved) == 0 {
-		return
-	}
-	if len(reserved) > maxSingleRemovals {
-		p.waiting = slices.DeleteFunc(p.waiting, func(t *task) bool { return !t.queued })
-	}
 	for _, t := range reserved {
-		if len(reserved) <= maxSingleRemovals {
-			p.removeWaiting(t)
-		}
 		p.sendStart(now, t)
 	}
 }
 
-// maxSingleRemovals is the number of started tasks up to which they are removed
-// from the queue one by one, which is faster than a pass over a long queue.
-const maxSingleRemovals = 16
-
 // canStart reports whether the endpoint may start tasks and has free
 // processors.
 func (p *Pool) canStart(now time.Time, e *endpoint) bool {
@@ -189,7 +167,7 @@
 	var reserved []*task
 	// noRoomFor is the batch whose task just found no room.
 	var noRoomFor *batch
-	polledSince, free := p.allPolledSince(), maxFree(*startable)
+	free, polledSince := maxFree(*startable), sync.OnceValue(p.allPolledSince)
 	p.searchRound++
 	for _, t := range tasks {
 		if len(*startable) == 0 {
@@ -302,8 +280,8 @@
 	e.usedRoom = e.usedRoom.Add(r.room)
 	p.runsByTask[t.key] = append(p.runsByTask[t.key], r)
 	p.startsInFlight++
-	t.run, t.queued = r, false
-	t.batch.queuedTasks--
+	t.run = r
+	p.waiting.remove(t)
 	p.noteStarted(t.batch)
 	t.waited = now.Sub(t.batch.placedAt)
 	if t.batch.needs.SameRack && t.batch.rack == "" {
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -40,7 +40,7 @@
 		p.endTasks(home, o, job.TaskEnd{Outcome: job.NotOwner})
 		return nil
 	}
-	if len(p.waiting)+len(o.Indexes) > p.cfg.MaxWaiting && !o.MayHaveStarted && p.batches[id] == nil {
+	if p.waiting.len()+len(o.Indexes) > p.cfg.MaxWaiting && !o.MayHaveStarted && p.batches[id] == nil {
 		p.stats.Shed += uint64(len(o.Indexes))
 		p.endTasks(home, o, job.TaskEnd{Outcome: job.Refused, RetryAfter: p.cfg.RetryAfter})
 		return nil
@@ -149,15 +149,16 @@
 // safeToStart reports whether the task may start. It may not before notBefore,
 // nor while another owner may have it running: until all endpoints have been
 // polled since foreignStartUntil, if that owner was of the same group, or
-// Config.ForeignStartDelay has passed.
-func (p *Pool) safeToStart(now, polledSince time.Time, t *task) bool {
+// Config.ForeignStartDelay has passed. Function polledSince returns the result
+// of allPolledSince.
+func (p *Pool) safeToStart(now time.Time, polledSince func() time.Time, t *task) bool {
 	if now.Before(t.notBefore) {
 		return false
 	}
 	if t.foreignStartUntil.IsZero() || now.Sub(t.foreignStartUntil) >= p.cfg.ForeignStartDelay {
 		return true
 	}
-	return !t.otherGroup && !polledSince.Before(t.foreignStartUntil)
+	return !t.otherGroup && !polledSince().Before(t.foreignStartUntil)
 }
 
 // sweep polls all held endpoints at once when tasks were placed that another
@@ -218,7 +219,7 @@
 
 // dropTask removes a task from the queue and from its batch.
 func (p *Pool) dropTask(t *task) {
-	p.dequeue(t)
+	p.waiting.remove(t)
 	delete(t.batch.tasks, t.key.Index)
 	if len(t.batch.tasks) > 0 {
 		return
@@ -243,7 +244,7 @@
 // expireWaiting ends waiting tasks whose deadline has passed.
 func (p *Pool) expireWaiting(now time.Time) {
 	var expired []*task
-	for _, t := range p.waiting {
+	for t := range p.waiting.all() {
 		if !now.Before(t.batch.deadline) {
 			expired = append(expired, t)
 		}
@@ -275,45 +276,10 @@
 // startBy returns when a task must start to end in time on an average endpoint.
 func (b *batch) startBy() time.Time { return b.target.Add(-b.needs.Estimate) }
 
-// enqueue inserts a task into the queue, which is sorted by startBy.
+// enqueue adds a task to the queue.
 func (p *Pool) enqueue(t *task) {
-	if t.queued {
-		return
-	}
-	t.queued = true
-	t.batch.queuedTasks++
+	p.waiting.add(t)
 	if t.batch.touched {
 		p.noteStarted(t.batch)
 	}
-	by := t.batch.startBy()
-	index, _ := slices.BinarySearchFunc(p.waiting, by, func(o *task, by time.Time) int {
-		if o.batch.startBy().After(by) {
-			return 1
-		}
-		return -1
-	})
-	p.waiting = slices.Insert(p.waiting, index, t)
-}
-
-func (p *Pool) dequeue(t *task) {
-	if !t.queued {
-		return
-	}
-	t.queued = false
-	t.batch.queuedTasks--
-	p.removeWaiting(t)
-}
-
-// removeWaiting removes a task from the queue.
-func (p *Pool) removeWaiting(t *task) {
-	by := t.batch.startBy()
-	index, _ := slices.BinarySearchFunc(p.waiting, by, func(o *task, by time.Time) int {
-		if o.batch.startBy().Before(by) {
-			return -1
-		}
-		return 1
-	})
-	if i := slices.Index(p.waiting[index:], t); i >= 0 {
-		p.waiting = slices.Delete(p.waiting, index+i, index+i+1)
-	}
 }
--- a/internal/decide/owner/ownership.go
+++ b/internal/decide/owner/ownership.go
@@ -105,7 +105,7 @@
 // DelayWaiting delays the start of all waiting tasks, since their homes may
 // have switched to another owner.
 func (p *Pool) DelayWaiting(now time.Time) {
-	for _, t := range p.waiting {
+	for t := range p.waiting.all() {
 		t.notBefore = now.Add(p.cfg.OwnerConflictDelay)
 	}
 }
--- a/internal/decide/owner/poll.go
+++ b/internal/decide/owner/poll.go
@@ -175,7 +175,7 @@
 		}
 		t.nextRun = max(t.nextRun, id.run+1)
 		if t.run == nil {
-			p.dequeue(t)
+			p.waiting.remove(t)
 			p.adopt(now, t, r)
 		}
 		return
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -33,7 +33,7 @@
 	batches  map[batchID]*batch
 	// batchesByJob holds the batches of each job, from any home.
 	batchesByJob map[job.ID][]*batch
-	waiting      []*task // by startBy
+	waiting      taskQueue
 	// started holds batches of which some tasks have started and others may
 	// wait, in the order in which they started.
 	started []*batch
@@ -106,7 +106,7 @@
 func (p *Pool) clear() {
 	p.batches = map[batchID]*batch{}
 	p.batchesByJob = map[job.ID][]*batch{}
-	p.waiting, p.started = nil, nil
+	p.waiting, p.started = taskQueue{}, nil
 	p.runsByTask = map[job.Key][]*run{}
 	p.inheritedEnds = map[job.Key]inheritedEnd{}
 	p.inFlight = map[uint64]inFlightCall{}
@@ -220,7 +220,7 @@
 // pool no longer polls all endpoints that may run them.
 func (p *Pool) SetGroup(g Group) {
 	p.group = g
-	for _, t := range p.waiting {
+	for t := range p.waiting.all() {
 		t.otherGroup = t.otherGroup || !g.Whole
 	}
 	p.sortedEndpoints = slices.DeleteFunc(p.sortedEndpoints, func(e *endpoint) bool {
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -73,19 +73,19 @@
 // work that starts before them. Tasks that can still meet their target start
 // first; those that are late get what the others leave of the capacity.
 func (p *Pool) shed(now time.Time) {
-	if len(p.waiting) == 0 {
+	if p.waiting.len() == 0 {
 		return
 	}
 	p.updateCapacities()
 	for _, l := range p.loads {
 		l.forecast = admission.Forecast{Spare: 1, StartInterval: p.window.Interval()}
 	}
-	first := p.firstInTime(now)
-	hopeless := findHopeless(now, p.waiting[first:])
+	late, inTime := p.waiting.split(now)
+	hopeless := findHopeless(now, inTime)
 	for _, l := range p.loads {
 		l.forecast.Spare = 1 - l.arrivals.Rate(now)
 	}
-	hopeless = append(hopeless, findHopeless(now, p.waiting[:first])...)
+	hopeless = append(hopeless, findHopeless(now, late)...)
 	for _, b := range hopeless {
 		b.waited = now.Sub(b.placedAt)
 		p.refuse(b, b.load.forecast.Wait())
@@ -107,7 +107,7 @@
 	for _, t := range tasks {
 		b := t.batch
 		l := b.load
-		if b.hopeless || !l.capacity.Known() {
+		if !t.queued || b.hopeless || !l.capacity.Known() {
 			continue
 		}
 		if b != previous {
--- a/internal/decide/owner/stats.go
+++ b/internal/decide/owner/stats.go
@@ -37,7 +37,7 @@
 // Stats returns the counters and the current sizes.
 func (p *Pool) Stats(now time.Time) Stats {
 	s := p.stats
-	s.Waiting, s.Endpoints, s.Window = len(p.waiting), len(p.sortedEndpoints), p.window.Free(0)
+	s.Waiting, s.Endpoints, s.Window = p.waiting.len(), len(p.sortedEndpoints), p.window.Free(0)
 	count := func(n *int, when bool) {
 		if when {
 			*n++
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -68,10 +68,10 @@
 	// mayHaveRun is set once a start of the task got the reply OK or Unknown,
 	// or a run of it was adopted.
 	mayHaveRun bool
-	// queued is set while the task is in Pool.waiting. It is cleared as soon as
-	// room is reserved, shortly before the task is removed from there.
-	queued bool
-	waited time.Duration
+	// queued is set while the task waits in Pool.waiting, until room is reserved
+	// for it. listed is set while the list of that queue holds it.
+	queued, listed bool
+	waited         time.Duration
 	// reruns counts the runs that were stopped because they had stalled.
 	reruns int
 	// refusals counts the starts that endpoints refused.
