Log what early refusals are decided by

Each search that refuses something now logs a line for each load: jobs, tasks, the predicted wait, the work that arrives as a share of the capacity, the least time between starts, and what waits and runs.

--- a/internal/decide/owner/protocol.go
+++ b/internal/decide/owner/protocol.go
@@ -218,11 +218,32 @@
 	HasTask bool
 }
 
-func (RunEvent) action() {}
-func (Poll) action()     {}
-func (Start) action()    {}
-func (Stop) action()     {}
-func (Report) action()   {}
+// RefusalEvent describes the tasks of a load that were refused because they
+// cannot end before their deadline, and what that was decided by, for logs.
+type RefusalEvent struct {
+	Service ident.Service
+	// Label is the label that the tasks require, or empty.
+	Label string
+	// Jobs and Tasks are the numbers that were refused, and FirstJob is one of
+	// the jobs.
+	Jobs, Tasks int
+	FirstJob    job.ID
+	// Wait is the predicted time until another task would start, and Arriving
+	// the work that arrives in a second as a share of the capacity.
+	Wait     time.Duration
+	Arriving float64
+	// StartInterval is the least time between two starts, or zero.
+	StartInterval time.Duration
+	// Waiting and Running are the numbers of tasks of all loads.
+	Waiting, Running int
+}
+
+func (RefusalEvent) action() {}
+func (RunEvent) action()     {}
+func (Poll) action()         {}
+func (Start) action()        {}
+func (Stop) action()         {}
+func (Report) action()       {}
 
 // PollResult is the result of a Poll, whose Number is in Call.
 type PollResult struct {
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -86,12 +86,40 @@
 		l.forecast.Spare = 1 - l.arrivals.Rate(now)
 	}
 	hopeless = append(hopeless, findHopeless(now, late)...)
+	p.addRefusalEvents(now, hopeless)
 	for _, b := range hopeless {
 		b.waited = now.Sub(b.placedAt)
 		p.refuse(b, b.load.forecast.Wait())
 	}
 }
 
+// addRefusalEvents emits a RefusalEvent for each load of the batches, which are
+// about to be refused.
+func (p *Pool) addRefusalEvents(now time.Time, hopeless []*batch) {
+	events := map[*load]int{}
+	for _, b := range hopeless {
+		i, ok := events[b.load]
+		if !ok {
+			i = len(p.actions)
+			events[b.load] = i
+			p.actions = append(p.actions, p.newRefusalEvent(now, b))
+		}
+		e := p.actions[i].(RefusalEvent)
+		e.Jobs++
+		e.Tasks += len(b.tasks)
+		p.actions[i] = e
+	}
+}
+
+// newRefusalEvent returns an event for the load of a batch without the numbers
+// of what is refused.
+func (p *Pool) newRefusalEvent(now time.Time, b *batch) RefusalEvent {
+	return RefusalEvent{
+		Service: b.service, Label: b.needs.RequiredLabel, FirstJob: b.job, Wait: b.load.forecast.Wait(), Arriving: b.load.arrivals.Rate(now),
+		StartInterval: p.window.Interval(), Waiting: p.waiting.len(), Running: len(p.runsByTask),
+	}
+}
+
 // shedInterval is the time between two searches for tasks that are overdue or
 // hopeless, which visit all waiting tasks. It is short for callers: below the
 // time that the shortest tasks run.
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -144,6 +144,16 @@
 	}).Info("job answered")
 }
 
+// logRefusals logs that waiting tasks were refused since they cannot end in
+// time.
+func (p *Process) logRefusals(e owner.RefusalEvent) {
+	p.log.WithFields(logrus.Fields{
+		"service": e.Service, "label": e.Label, "jobs": e.Jobs, "tasks": e.Tasks, "first-job": e.FirstJob,
+		"wait": e.Wait.Round(time.Millisecond).String(), "arriving": e.Arriving, "start-interval": e.StartInterval.String(),
+		"waiting": e.Waiting, "running": e.Running,
+	}).Info("tasks refused that cannot end in time")
+}
+
 // logRunEvent logs an event about a run.
 func (p *Process) logRunEvent(e owner.RunEvent) {
 	p.log.WithFields(logrus.Fields{
