Refuse by the load that lasts, not by what homes place again

Change: tasks placed again are not counted, and the rate is the lower one of an average over 0.5 s and one over 2 s. TestTakeoverIsNoFlood and TestMeterIgnoresBurst fail without it; TestFloodIsRefusedEarly holds unchanged.

--- a/internal/decide/admission/forecast.go
+++ b/internal/decide/admission/forecast.go
@@ -80,26 +80,44 @@
 	maxWait = time.Hour
 )
 
-// Meter measures how much work arrives, as a share of the capacity.
-type Meter struct {
+// Meter measures how much work arrives, as a share of the capacity. It answers a
+// load that stays above the room, and not a burst that is soon over, as when
+// jobs that gathered without an owner arrive all at once.
+type Meter struct{ short, long average }
+
+// average is an exponential average of the work that arrives in a second.
+type average struct {
 	rate float64
 	last time.Time
 }
 
-// meterPeriod is the time over which a Meter averages. It is shorter than most
-// bursts and longer than the gaps between jobs.
-const meterPeriod = 500 * time.Millisecond
+const (
+	// shortPeriod and longPeriod are the times over which a Meter averages.
+	// The short one lets it follow a load that falls, and the long one bridges
+	// bursts of about a second.
+	shortPeriod = 500 * time.Millisecond
+	longPeriod  = 2 * time.Second
+)
 
 // Add records work that has arrived, in seconds of the whole capacity.
 func (m *Meter) Add(now time.Time, work float64) {
-	m.rate = m.Rate(now) + work/meterPeriod.Seconds()
-	m.last = now
+	m.short.add(now, shortPeriod, work)
+	m.long.add(now, longPeriod, work)
 }
 
-// Rate returns the work that arrives in a second.
+// Rate returns the work that arrives in a second, as far as it has lasted.
 func (m *Meter) Rate(now time.Time) float64 {
-	if m.last.IsZero() {
+	return math.Min(m.short.at(now, shortPeriod), m.long.at(now, longPeriod))
+}
+
+func (a *average) add(now time.Time, period time.Duration, work float64) {
+	a.rate = a.at(now, period) + work/period.Seconds()
+	a.last = now
+}
+
+func (a *average) at(now time.Time, period time.Duration) float64 {
+	if a.last.IsZero() {
 		return 0
 	}
-	return m.rate * math.Exp(-now.Sub(m.last).Seconds()/meterPeriod.Seconds())
+	return a.rate * math.Exp(-now.Sub(a.last).Seconds()/period.Seconds())
 }
--- a/internal/decide/admission/forecast_test.go
+++ b/internal/decide/admission/forecast_test.go
@@ -71,10 +71,19 @@
 	is := is.New(t)
 	var m admission.Meter
 	now := time.Unix(1_800_000_000, 0)
-	for range 300 {
+	for range 1000 {
 		now = now.Add(10 * time.Millisecond)
 		m.Add(now, 0.012)
 	}
 	is.True(math.Abs(m.Rate(now)-1.2) < 0.05)
 	is.True(m.Rate(now.Add(2*time.Second)) < 0.05)
 }
+
+// TestMeterIgnoresBurst guards against a burst that counts as a lasting load.
+func TestMeterIgnoresBurst(t *testing.T) {
+	is := is.New(t)
+	var m admission.Meter
+	now := time.Unix(1_800_000_000, 0)
+	m.Add(now, 0.8)
+	is.True(m.Rate(now) < 0.5)
+}
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -54,7 +54,9 @@
 		p.batches[id] = b
 		p.batchesByJob[b.job] = append(p.batchesByJob[b.job], b)
 	}
-	b.countArrival(now, len(o.Indexes))
+	if !o.MayHaveStarted {
+		b.countArrival(now, len(o.Indexes))
+	}
 	for i, index := range o.Indexes {
 		t := b.tasks[index]
 		if t == nil {
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// countArrival records that tasks of a batch have arrived.
+// countArrival records that new tasks of a batch have arrived.
 func (b *batch) countArrival(now time.Time, tasks int) {
 	if l := b.load; l.capacity.Known() {
 		l.arrivals.Add(now, float64(tasks)*l.capacity.Work(b.needs.Room, b.needs.Estimate))
--- a/internal/decide/owner/shed_test.go
+++ b/internal/decide/owner/shed_test.go
@@ -81,6 +81,31 @@
 	}
 }
 
+// TestTakeoverIsNoFlood guards against late work that is refused while endpoints
+// are free, since the tasks that homes place again at a new owner count as
+// arriving load, although they run already or soon end.
+func TestTakeoverIsNoFlood(t *testing.T) {
+	const endpoints, capacity = 4, 4 * 3 * 10 // as in TestFloodIsRefusedEarly
+	f := &flooded{harness: newHarness(t, endpoints), placedAt: map[job.ID]time.Time{}}
+	f.flood(time.Second/2, time.Second/2/capacity) // tasks wait: the room is known
+	f.flood(2*time.Second, 3*time.Second/capacity)
+	f.done, f.refusedAfter, f.overdue, f.mostWaiting = 0, nil, 0, 0
+	again := order("again", 2*capacity, 10_000)
+	again.MayHaveStarted = true
+	f.place(home1, again)
+	f.collect(f.pool.Withdraw(home1, again.Job))
+	for i := range capacity / 3 {
+		o := order(fmt.Sprint("late-", i), 1, 10_000)
+		o.Target, o.Deadline, o.Needs.Estimate = 0, 900*time.Millisecond, 100*time.Millisecond
+		f.placedAt[o.Job] = f.now
+		f.place(home1, o)
+	}
+	f.ends = f.ends[:0]
+	f.flood(time.Second, 3*time.Second/capacity)
+	t.Logf("%d done, refused %v, overdue %d, waiting %d", f.done, f.refusedAfter, f.overdue, f.mostWaiting)
+	f.is.Equal(len(f.refusedAfter)+f.overdue, 0)
+}
+
 // TestMaxWaiting guards against a flood whose tasks take up memory without
 // bound.
 func TestMaxWaiting(t *testing.T) {
