Let the larger part keep its owner when two parts of the fleet meet

Ruled out: a mark of isolated instances in heartbeats, since the one that started alone does not know that it is isolated.

Where two owners meet, the one with fewer followers yields and ranks after the other, with all of its followers; equal numbers go by seniority as before. An instance whose owner has yielded to one that is not linked yet waits for that link, RejoinDelay at most.

--- a/internal/decide/dispatcher/endpoints.go
+++ b/internal/decide/dispatcher/endpoints.go
@@ -10,10 +10,11 @@
 
 // NeedsEndpoints reports whether this instance should read the list of
 // endpoints from the store. The owner always reads it. Others read it while no
-// owner is known, the owner asks them to, or they have no list themselves.
+// owner is known that sends them its changes, the owner asks them to, or they
+// have no list themselves.
 func (c *Core) NeedsEndpoints(now time.Time) bool {
-	ownerProcess, known := c.view.Owner()
-	return !known || ownerProcess == c.self || c.list.Requested(now) || !c.list.Known()
+	ownerProcess, _ := c.view.Owner()
+	return ownerProcess == c.self || !c.view.OwnerConfirmed() || c.list.Requested(now) || !c.list.Known()
 }
 
 // UpdateEndpoints sets the list of endpoints that was read from the store, and
--- a/internal/decide/leader/rank.go
+++ b/internal/decide/leader/rank.go
@@ -15,11 +15,13 @@
 const minProcessorPercent = 75
 
 // candidate is an instance that is considered as leader. A small candidate has
-// fewer processors than minProcessorPercent demands.
+// fewer processors than minProcessorPercent demands. For returning ones see
+// View.returning.
 type candidate struct {
 	process   ident.Process
 	heartbeat Heartbeat
 	small     bool
+	returning bool
 }
 
 // preferredTo reports whether c is ranked before o as leader.
@@ -29,6 +31,8 @@
 		return !c.heartbeat.Draining
 	case c.small != o.small:
 		return !c.small
+	case c.returning != o.returning:
+		return !c.returning
 	case c.heartbeat.Seniority != o.heartbeat.Seniority:
 		return c.heartbeat.Seniority < o.heartbeat.Seniority
 	}
@@ -49,13 +53,14 @@
 
 // rank returns the instance that is to lead and its successor, which is empty
 // if there is no other instance. Instances that are not draining come before
-// draining ones, large ones before small ones, and senior ones before junior
-// ones. When all are draining, one of them leads.
+// draining ones, large ones before small ones, those that follow the same owner
+// before those that return, and senior ones before junior ones. When all are
+// draining, one of them leads.
 func (v *View) rank() (first, second ident.Process) {
 	candidates := []candidate{{process: v.cfg.Self, heartbeat: v.OwnHeartbeat()}}
 	for _, p := range v.peers {
 		if p.linked && p.hasHeartbeat {
-			candidates = append(candidates, candidate{process: p.process, heartbeat: p.heartbeat})
+			candidates = append(candidates, candidate{process: p.process, heartbeat: p.heartbeat, returning: v.returning(p)})
 		}
 	}
 	var maxProcessors int64
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -46,8 +46,9 @@
 	// heard from every instance that the store lists.
 	SettleTime time.Duration
 	// RejoinDelay is how long an isolated instance must be linked to a majority
-	// before it stops being isolated. After a network partition, links come
-	// back one by one, so a majority may be linked only for a moment.
+	// before it stops being isolated, and how long an instance waits for a link
+	// to the owner that its own one has yielded to. After a network partition,
+	// links come back one by one, so a majority may be linked only for a moment.
 	RejoinDelay time.Duration
 	// MemberExpiry is how long an instance without a link counts as part of the
 	// fleet while the store cannot be read. MaxListAge is the greatest age at
@@ -104,6 +105,9 @@
 	// Owner is the process that the instance considers the owner of the
 	// endpoints. It is empty while no owner is known.
 	Owner ident.Process
+	// Followers is the number of instances that follow Owner, Owner included,
+	// as far as the instance knows.
+	Followers int
 }
 
 // peer is what is known of another instance: one that is linked, or that the
@@ -151,6 +155,8 @@
 	// last linked only to a minority.
 	isolated     bool
 	lastMinority time.Time
+	// yieldedAt is since when awaitsSuccessor has held, or zero.
+	yieldedAt time.Time
 	// held is set while no owner may be chosen; see Hold.
 	held bool
 }
@@ -176,7 +182,7 @@
 
 // OwnHeartbeat returns the heartbeat of this instance.
 func (v *View) OwnHeartbeat() Heartbeat {
-	return Heartbeat{Seniority: v.seniority, Processors: v.cfg.Strength.Processors, Epoch: v.epoch, Draining: v.draining, Owner: v.owner}
+	return Heartbeat{Seniority: v.seniority, Processors: v.cfg.Strength.Processors, Epoch: v.epoch, Draining: v.draining, Owner: v.owner, Followers: v.followers()}
 }
 
 // Epoch returns the highest epoch seen so far.
@@ -222,6 +228,7 @@
 	}
 	p.heartbeat, p.hasHeartbeat, p.lastHeard = heartbeat, true, now
 	v.ObserveEpoch(heartbeat.Epoch)
+	v.yieldTo(now, p)
 }
 
 // SetMembers records the instances that the store lists.
@@ -294,7 +301,7 @@
 	}
 	timedOut = append(timedOut, v.checkPeers(now)...)
 	first, second := v.rank()
-	if v.settled(now) && v.owner != first && v.peerCheckStarted.IsZero() {
+	if v.settled(now) && v.owner != first && v.peerCheckStarted.IsZero() && !v.awaitsSuccessor(now) {
 		v.owner = first
 		v.startGracePeriod(now)
 	}
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -21,7 +21,7 @@
 			Seniority: int64(m.Seniority), Epoch: m.Epoch, Draining: m.Draining,
 			ListAgeMs: uint32(min(m.ListAge.Milliseconds(), math.MaxUint32)),
 			Owner:     string(m.Owner.Instance), OwnerIncarnation: uint64(m.Owner.Incarnation),
-			Ask: m.RequestReply, ReadList: m.ReadList,
+			Ask: m.RequestReply, ReadList: m.ReadList, Followers: uint32(max(m.Followers, 0)),
 			Processors: uint32(min(max(m.Processors, 0), math.MaxUint32)),
 		}}}
 	case dispatcher.Orders:
@@ -46,7 +46,7 @@
 		return dispatcher.Heartbeat{
 			Heartbeat: leader.Heartbeat{
 				Seniority: leader.Seniority(body.Pulse.GetSeniority()), Epoch: body.Pulse.GetEpoch(), Draining: body.Pulse.GetDraining(),
-				Processors: int64(body.Pulse.GetProcessors()),
+				Processors: int64(body.Pulse.GetProcessors()), Followers: int(body.Pulse.GetFollowers()),
 				Owner: ident.Process{
 					Instance: ident.InstanceID(body.Pulse.GetOwner()), Incarnation: ident.Incarnation(body.Pulse.GetOwnerIncarnation()),
 				},
