Let a new instance take the layout of its peers

Cause of falls since fleets can be divided, on sites that are whole: an instance that restarts decides on the layout at once by the members that it sees, and the strong ones may still be missing.

A new instance takes that of its peers; without one, a division because no instance is strong enough waits for two seconds, and a strong instance counts for a minute after it was last seen. Too many members divide at once, as before.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -75,8 +75,8 @@
 	// ListAge is the age of the sender's list of endpoints, listing.NoList
 	// without one.
 	ListAge time.Duration
-	// Whole is set if the sender takes the fleet for one group.
-	Whole bool
+	// Layout is how the sender sees the fleet divided.
+	Layout group.Layout
 	// ReadList asks the receiver to read the list of endpoints and send it.
 	ReadList bool
 	// RequestReply makes the receiver answer at once with a heartbeat of its
@@ -144,7 +144,7 @@
 		return nil, err
 	}
 	c := &Core{cfg: cfg, self: cfg.Leader.Self, jobs: home.New(), lostPeers: map[ident.Process]time.Time{}, list: listing.New(cfg.Listing)}
-	c.groups.linked, c.groups.whole = map[ident.Process]ident.DataCentre{}, map[ident.Process]bool{}
+	c.groups.linked, c.groups.layouts = map[ident.Process]ident.DataCentre{}, map[ident.Process]group.Layout{}
 	var err error
 	if c.view, err = leader.New(now, cfg.Leader, seniority); err != nil {
 		return nil, err
@@ -270,7 +270,7 @@
 		c.pending = append(c.pending, IsolationChanged{Isolated: isolated})
 	}
 	c.groups.changed = false
-	c.jobs.SetWhole(c.groups.decider.Layout() == group.Whole || c.groups.whole[ownerProcess])
+	c.jobs.SetWhole(c.groups.decider.Layout() == group.Whole || c.groups.layouts[ownerProcess] == group.Whole)
 	c.applyJobActions(now, c.jobs.SetOwner(now, ownerProcess, known && (isOwner || c.view.Linked(ownerProcess))))
 }
 
@@ -296,7 +296,7 @@
 }
 
 func (c *Core) ownHeartbeat(now time.Time) Heartbeat {
-	return Heartbeat{Heartbeat: c.view.OwnHeartbeat(), ListAge: c.list.Age(now), Whole: c.groups.decider.Layout() == group.Whole}
+	return Heartbeat{Heartbeat: c.view.OwnHeartbeat(), ListAge: c.list.Age(now), Layout: c.groups.decider.Layout()}
 }
 
 // handlePeerLost handles the end of a link or the timeout of a peer. The tasks
@@ -304,7 +304,7 @@
 func (c *Core) handlePeerLost(now time.Time, process ident.Process, grace time.Duration) {
 	c.view.HandleLinkDown(process)
 	delete(c.groups.linked, process)
-	delete(c.groups.whole, process)
+	delete(c.groups.layouts, process)
 	c.jobs.HandleLinkDown(process)
 	c.list.HandleLinkDown(process)
 	c.lostPeers[process] = now.Add(grace)
@@ -344,7 +344,7 @@
 	case Heartbeat:
 		c.view.HandleHeartbeat(now, from, m.Heartbeat)
 		c.noteHeard(now, from)
-		c.groups.whole[from] = m.Whole
+		c.groups.layouts[from] = m.Layout
 		if m.RequestReply {
 			c.pending = append(c.pending, Send{To: from, Urgent: true, Message: c.ownHeartbeat(now)})
 		}
--- a/internal/decide/dispatcher/groups.go
+++ b/internal/decide/dispatcher/groups.go
@@ -18,9 +18,9 @@
 	// view does not know.
 	linked  map[ident.Process]ident.DataCentre
 	members []leader.Member
-	// whole holds the linked processes that take the fleet for one group, as
-	// their latest heartbeats say.
-	whole map[ident.Process]bool
+	// layouts holds how the linked processes see the fleet divided, as their
+	// latest heartbeats say.
+	layouts map[ident.Process]group.Layout
 	// changed is set when the layout has changed and the pool does not follow
 	// it yet.
 	changed bool
@@ -77,6 +77,10 @@
 	}
 	before := c.groups.decider.Layout()
 	fleet := group.Fleet{Members: len(c.groups.members), Endpoints: len(c.list.Endpoints()), LargestOwner: c.largestOwner()}
+	for _, layout := range c.groups.layouts {
+		fleet.PeersWhole = fleet.PeersWhole || layout == group.Whole
+		fleet.PeersDivided = fleet.PeersDivided || layout == group.ByDataCentre
+	}
 	if !c.groups.decider.Update(now, fleet) {
 		return
 	}
@@ -181,7 +185,7 @@
 	for _, process := range c.outsidePeers() {
 		c.pending = append(c.pending, CloseLink{Peer: process})
 		delete(c.groups.linked, process)
-		delete(c.groups.whole, process)
+		delete(c.groups.layouts, process)
 		c.lostPeers[process] = now
 	}
 }
--- a/internal/decide/group/layout.go
+++ b/internal/decide/group/layout.go
@@ -65,15 +65,25 @@
 // maxMembers is the number of instances up to which all link to each other.
 const maxMembers = 64
 
-// changeDelay is how long the layout must differ before it changes: the list of
-// members lacks instances that are just starting.
-const changeDelay = 2 * time.Second
+const (
+	// changeDelay is how long another layout must be called for before it takes
+	// effect: the list of members lacks instances that are just starting.
+	changeDelay = 2 * time.Second
+	// strengthMemory is how long an instance that can own all endpoints is
+	// still counted after it was last seen. One that fails comes back or is
+	// replaced, and each change of the layout costs runs.
+	strengthMemory = time.Minute
+)
 
 // Decider decides on the layout as one instance sees it.
 type Decider struct {
 	layout Layout
 	// differsSince is when another layout was first called for, or zero.
 	differsSince time.Time
+	// largestOwner is the highest Fleet.LargestOwner of the last
+	// strengthMemory, and largestAt when it was last seen.
+	largestOwner int
+	largestAt    time.Time
 }
 
 // Layout returns the layout that is in use.
@@ -86,6 +96,9 @@
 	// LargestOwner is the number of endpoints that the strongest instance can
 	// own, or zero if unknown.
 	LargestOwner int
+	// PeersWhole and PeersDivided are set if linked peers have settled on
+	// Whole, or on ByDataCentre.
+	PeersWhole, PeersDivided bool
 }
 
 // layout returns the layout that suits the fleet.
@@ -96,20 +109,48 @@
 	return Whole
 }
 
+// firstLayout returns the layout for an instance that has none yet: the one that
+// suits the fleet, unless all peers have settled on the other one.
+func (f Fleet) firstLayout() Layout {
+	wanted := f.layout()
+	switch {
+	case wanted == ByDataCentre && f.Members <= maxMembers && f.PeersWhole && !f.PeersDivided:
+		return Whole
+	case wanted == Whole && f.PeersDivided && !f.PeersWhole:
+		return ByDataCentre
+	}
+	return wanted
+}
+
+// rememberLargest returns the highest number of endpoints that an instance could
+// own within strengthMemory.
+func (d *Decider) rememberLargest(now time.Time, largest int) int {
+	if largest >= d.largestOwner || now.Sub(d.largestAt) > strengthMemory {
+		d.largestOwner, d.largestAt = largest, now
+	}
+	return d.largestOwner
+}
+
 // Update decides on the layout and reports whether it has changed. It does so
-// only once endpoints are listed. The first decision takes effect at once, and
-// so does one for too many members, since lists lack members but do not invent
-// them. Others take effect after changeDelay.
+// only once endpoints are listed. A new instance takes the layout of its peers,
+// since its list of members may still lack the strong ones. Without peers that
+// have settled, Whole takes effect at once, and so does a division for too many
+// members, since lists lack members but do not invent them. Others take effect
+// after changeDelay.
 func (d *Decider) Update(now time.Time, f Fleet) bool {
 	if f.Endpoints == 0 {
 		return false
 	}
+	f.LargestOwner = d.rememberLargest(now, f.LargestOwner)
 	wanted := f.layout()
+	if d.layout == Unknown {
+		wanted = f.firstLayout()
+	}
 	switch {
 	case wanted == d.layout:
 		d.differsSince = time.Time{}
 		return false
-	case d.layout == Unknown, f.Members > maxMembers:
+	case d.layout == Unknown && (wanted == Whole || f.PeersDivided && !f.PeersWhole), f.Members > maxMembers:
 	case d.differsSince.IsZero():
 		d.differsSince = now
 		return false
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -7,6 +7,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
+	"hornbeamlift.example/hornbeamlift/internal/decide/group"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
 	"hornbeamlift.example/hornbeamlift/internal/decide/listing"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
@@ -21,7 +22,7 @@
 			Seniority: int64(m.Seniority), Epoch: m.Epoch, Draining: m.Draining,
 			ListAgeMs: uint32(min(m.ListAge.Milliseconds(), math.MaxUint32)),
 			Owner:     string(m.Owner.Instance), OwnerIncarnation: uint64(m.Owner.Incarnation),
-			Ask: m.RequestReply, ReadList: m.ReadList, Followers: uint32(max(m.Followers, 0)), Whole: m.Whole,
+			Ask: m.RequestReply, ReadList: m.ReadList, Followers: uint32(max(m.Followers, 0)), Layout: peerpb.Layout(m.Layout),
 			Processors: uint32(min(max(m.Processors, 0), math.MaxUint32)),
 		}}}
 	case dispatcher.Orders:
@@ -52,7 +53,7 @@
 				},
 			},
 			ListAge: time.Duration(body.Pulse.GetListAgeMs()) * time.Millisecond,
-			Whole:   body.Pulse.GetWhole(), RequestReply: body.Pulse.GetAsk(), ReadList: body.Pulse.GetReadList(),
+			Layout:  group.Layout(body.Pulse.GetLayout()), RequestReply: body.Pulse.GetAsk(), ReadList: body.Pulse.GetReadList(),
 		}, true
 	case *peerpb.Message_PlaceOrders:
 		orders, ok := decodeOrders(body.PlaceOrders)
