Serve what can start soon in overload, and put the surplus behind it

All of some 810 slots are busy and a fifth more arrives. The endpoints were full; the order was wrong.

Change: what arrives when 40 ms of work wait already is surplus. It starts after all others, late ones too, or is refused once it is hopeless. Later steps of jobs and tasks that were placed again are never surplus. Each kind has the same chance, whatever its size or slack.

--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -57,7 +58,7 @@
 		}
 	}
 	slices.SortStableFunc(tasks, func(a, b *task) int { return a.batch.startBy().Compare(b.batch.startBy()) })
-	p.startReserved(now, p.reserveRoom(now, tasks, &startable))
+	p.startReserved(now, p.reserveRoom(now, slices.Values(tasks), &startable))
 }
 
 // mayStart reports whether there are waiting tasks that the pool may start. It
@@ -76,20 +77,34 @@
 // startWaiting starts waiting tasks on endpoints. The rest of batches that have
 // started comes first, since a job is worth nothing without its last task. Tasks
 // that can still meet their target follow, in the order of their latest start,
-// and then tasks that are already late. At most limit tasks of each of the
-// latter two groups are tried.
+// then tasks that are already late, and then surplus ones. At most limit tasks of
+// each of these groups are tried.
 func (p *Pool) startWaiting(now time.Time, startable []*endpoint, limit int) {
 	if len(startable) == 0 {
 		return
 	}
 	p.waiting.compact()
 	late, inTime := p.waiting.split(now)
-	reserved := p.reserveRoom(now, p.startedRest(), &startable)
-	reserved = append(reserved, p.reserveRoom(now, inTime[:min(limit, len(inTime))], &startable)...)
-	reserved = append(reserved, p.reserveRoom(now, late[:min(limit, len(late))], &startable)...)
+	reserved := p.reserveRoom(now, slices.Values(p.startedRest()), &startable)
+	late, inTime = late[:min(limit, len(late))], inTime[:min(limit, len(inTime))]
+	for _, surplus := range []bool{false, true} {
+		reserved = append(reserved, p.reserveRoom(now, ofSurplus(inTime, surplus), &startable)...)
+		reserved = append(reserved, p.reserveRoom(now, ofSurplus(late, surplus), &startable)...)
+	}
 	p.startReserved(now, reserved)
 }
 
+// ofSurplus returns the tasks whose batch is surplus, or those whose is not.
+func ofSurplus(tasks []*task, surplus bool) iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		for _, t := range tasks {
+			if t.batch.surplus == surplus && !yield(t) {
+				return
+			}
+		}
+	}
+}
+
 // startedRest returns waiting tasks of batches of which others have started, at
 // most scanLimit and those of the batches first that started first.
 func (p *Pool) startedRest() []*task {
@@ -160,8 +175,8 @@
 // reserveRoom chooses endpoints for tasks in order, reserves the room there,
 // and returns the tasks that have room. It removes endpoints that are full from
 // startable.
-func (p *Pool) reserveRoom(now time.Time, tasks []*task, startable *[]*endpoint) []*task {
-	if len(tasks) == 0 || len(*startable) == 0 {
+func (p *Pool) reserveRoom(now time.Time, tasks iter.Seq[*task], startable *[]*endpoint) []*task {
+	if len(*startable) == 0 {
 		return nil
 	}
 	var reserved []*task
@@ -169,7 +184,7 @@
 	var noRoomFor *batch
 	free, polledSince := maxFree(*startable), sync.OnceValue(p.allPolledSince)
 	p.searchRound++
-	for _, t := range tasks {
+	for t := range tasks {
 		if len(*startable) == 0 {
 			break
 		}
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -51,6 +51,8 @@
 			home: home, job: o.Job, step: o.Step, service: o.Service, payload: o.Payload, needs: o.Needs, taskClass: p.taskClassFor(o.Service, &o.Needs), load: p.loadOf(o.Service, o.Needs.RequiredLabel),
 			placedAt: now, target: now.Add(o.Target), deadline: now.Add(o.Deadline), tasks: map[int]*task{},
 		}
+		// Later steps belong to jobs that have begun.
+		b.surplus = !o.MayHaveStarted && o.Step == 0 && b.load.isSurplus()
 		p.batches[id] = b
 		p.batchesByJob[b.job] = append(p.batchesByJob[b.job], b)
 	}
--- a/internal/decide/owner/queue.go
+++ b/internal/decide/owner/queue.go
@@ -61,6 +61,7 @@
 	}
 	t.queued = true
 	t.batch.queuedTasks++
+	t.batch.load.add(t)
 	if t.listed {
 		q.removed--
 		return
@@ -78,6 +79,7 @@
 	}
 	t.queued = false
 	t.batch.queuedTasks--
+	t.batch.load.remove(t)
 	q.removed++
 }
 
--- a/internal/decide/owner/queue_test.go
+++ b/internal/decide/owner/queue_test.go
@@ -18,7 +18,7 @@
 	for i := range tasks {
 		// Every fifth task has the same startBy.
 		target := time.UnixMilli(int64(i * 7919 % n / 5))
-		tasks[i] = &task{batch: &batch{target: target}}
+		tasks[i] = &task{batch: &batch{target: target, load: &load{}}}
 		q.add(tasks[i])
 	}
 	remove := func(from, to int) {
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -22,10 +22,39 @@
 type load struct {
 	capacity admission.Capacity
 	arrivals admission.Meter
+	// waiting is the work of the waiting tasks that are not surplus, in seconds
+	// of the whole capacity.
+	waiting float64
 	// forecast is that of the latest search for hopeless batches.
 	forecast admission.Forecast
 }
 
+// maxSoon is the work that may wait, in time of the whole capacity, before what
+// arrives next is surplus. It is below the time that the shortest tasks may wait
+// and still meet their target.
+const maxSoon = 40 * time.Millisecond
+
+// isSurplus reports whether a batch that arrives now comes after all others.
+// This answers a load above the room: if all of it waited in one queue, all
+// would start just when it is too late, and hardly a job would meet its target.
+// So the load that can start soon does, of each kind the same share, and the
+// surplus gets what the others leave, or is refused once it is hopeless.
+func (l *load) isSurplus() bool { return l.waiting > maxSoon.Seconds() }
+
+// add counts a task that has been queued.
+func (l *load) add(t *task) {
+	if b := t.batch; !b.surplus && l.capacity.Known() {
+		t.work = l.capacity.Work(b.needs.Room, b.needs.Estimate)
+		l.waiting += t.work
+	}
+}
+
+// remove counts a task that is no longer queued.
+func (l *load) remove(t *task) {
+	l.waiting -= t.work
+	t.work = 0
+}
+
 // maxLoads bounds the loads, since callers choose the labels. Tasks with a
 // further label count towards the load of their service.
 const maxLoads = 64
@@ -71,7 +100,8 @@
 
 // shed refuses waiting batches that cannot end before their deadline, by the
 // work that starts before them. Tasks that can still meet their target start
-// first; those that are late get what the others leave of the capacity.
+// first; those that are late or surplus get what the others leave of the
+// capacity.
 func (p *Pool) shed(now time.Time) {
 	if p.waiting.len() == 0 {
 		return
@@ -81,11 +111,13 @@
 		l.forecast = admission.Forecast{Spare: 1, StartInterval: p.window.Interval()}
 	}
 	late, inTime := p.waiting.split(now)
-	hopeless := findHopeless(now, inTime)
+	hopeless := findHopeless(now, inTime, false)
 	for _, l := range p.loads {
 		l.forecast.Spare = 1 - l.arrivals.Rate(now)
 	}
-	hopeless = append(hopeless, findHopeless(now, late)...)
+	hopeless = append(hopeless, findHopeless(now, late, false)...)
+	hopeless = append(hopeless, findHopeless(now, inTime, true)...)
+	hopeless = append(hopeless, findHopeless(now, late, true)...)
 	p.addRefusalEvents(now, hopeless)
 	for _, b := range hopeless {
 		b.waited = now.Sub(b.placedAt)
@@ -125,17 +157,18 @@
 // time that the shortest tasks run.
 const shedInterval = 50 * time.Millisecond
 
-// findHopeless returns the batches among the tasks, in the order in which they
-// start, that cannot end in time and of which nothing has started. The work of
-// the others is added to the forecasts. Tasks of a batch follow each other.
-func findHopeless(now time.Time, tasks []*task) []*batch {
+// findHopeless returns the batches among the tasks, either the surplus ones or
+// the others, that cannot end in time and of which nothing has started. The
+// tasks are in the order in which they start. The work of the others is added to
+// the forecasts. Tasks of a batch follow each other.
+func findHopeless(now time.Time, tasks []*task, surplus bool) []*batch {
 	var hopeless []*batch
 	var previous *batch
 	var work float64
 	for _, t := range tasks {
 		b := t.batch
 		l := b.load
-		if !t.queued || b.hopeless || !l.capacity.Known() {
+		if !t.queued || b.surplus != surplus || b.hopeless || !l.capacity.Known() {
 			continue
 		}
 		if b != previous {
--- a/internal/decide/owner/shed_test.go
+++ b/internal/decide/owner/shed_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+	"hornbeamlift.example/hornbeamlift/internal/standin/leased"
 )
 
 // flooded returns a harness whose endpoints are offered several times what they
@@ -20,6 +22,8 @@
 	retryAfter   time.Duration
 	overdue      int
 	mostWaiting  int
+	// inTime counts the jobs that ended within their target.
+	inTime int
 }
 
 // flood offers jobs of one task that take 100 ms on a third of an endpoint.
@@ -42,6 +46,9 @@
 			switch {
 			case end.Outcome == job.Done:
 				f.done++
+				if waited <= 300*time.Millisecond {
+					f.inTime++
+				}
 			case end.Outcome == job.Refused && waited < 1500*time.Millisecond:
 				f.refusedAfter = append(f.refusedAfter, waited)
 				f.retryAfter = max(f.retryAfter, end.RetryAfter)
@@ -81,6 +88,32 @@
 	}
 }
 
+// TestOverloadServesInTime guards against a load a little above the room that
+// makes all jobs late, since all wait until it is nearly too late: what the
+// endpoints can run still ends in time, though estimates are off by 40%, and the
+// rest is refused.
+func TestOverloadServesInTime(t *testing.T) {
+	const endpoints, capacity = 4, 4 * 3 * 10 // as in TestFloodIsRefusedEarly
+	for _, percent := range []int{110, 130, 200} {
+		t.Run(fmt.Sprint(percent, "percent"), func(t *testing.T) {
+			f := &flooded{harness: newHarness(t, endpoints), placedAt: map[job.ID]time.Time{}}
+			rnd := rand.New(rand.NewPCG(1, 2))
+			for _, e := range f.endpoints {
+				e.PlanOf = func(job.Key) leased.RunPlan {
+					return leased.RunPlan{Duration: time.Duration(60+rnd.IntN(80)) * time.Millisecond}
+				}
+			}
+			interval := time.Second * 100 / time.Duration(percent*capacity)
+			f.flood(2*time.Second, interval)
+			f.done, f.inTime, f.refusedAfter, f.overdue = 0, 0, nil, 0
+			f.flood(5*time.Second, interval)
+			t.Logf("%d done, %d in time, %d refused, %d overdue", f.done, f.inTime, len(f.refusedAfter), f.overdue)
+			f.is.True(f.inTime >= 5*capacity*85/100)
+			f.is.Equal(f.overdue, 0)
+		})
+	}
+}
+
 // TestTakeoverIsNoFlood guards against late work that is refused while endpoints
 // are free, since the tasks that homes place again at a new owner count as
 // arriving load, although they run already or soon end.
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -31,6 +31,9 @@
 	queuedTasks int
 	// listedAsStarted is set while the batch is in Pool.started.
 	listedAsStarted bool
+	// surplus is set if the batch arrived when more waited than could start
+	// soon; see isSurplus.
+	surplus bool
 	// hopeless is set when the batch is refused because it cannot end in time,
 	// and waited is how long it waited until then.
 	hopeless bool
@@ -71,7 +74,9 @@
 	// queued is set while the task waits in Pool.waiting, until room is reserved
 	// for it. listed is set while the list of that queue holds it.
 	queued, listed bool
-	waited         time.Duration
+	// work is what the task adds to load.waiting while it is queued.
+	work   float64
+	waited time.Duration
 	// reruns counts the runs that were stopped because they had stalled.
 	reruns int
 	// refusals counts the starts that endpoints refused.
