Own nothing while the fleet is unknown, and refuse what waits there

Change: an instance that has neither read the list of instances nor linked to any counts as isolated and owns nothing. An owner that has known no endpoint for 0.5 s refuses what waits; another instance may serve the callers. TestUnknownFleet and TestOwnerWithoutEndpoints fail without it.

--- a/internal/decide/leader/share.go
+++ b/internal/decide/leader/share.go
@@ -12,6 +12,9 @@
 // into two equal halves, the half with the lowest instance id counts as the
 // majority.
 func (v *View) inMinority(now time.Time) bool {
+	if v.knowsNoFleet() {
+		return true
+	}
 	linkedCount, all := 1, 1
 	lowest, lowestLinked := v.cfg.Self.Instance, true
 	for id, p := range v.peers {
@@ -29,6 +32,10 @@
 	return 2*linkedCount < all || (2*linkedCount == all && !lowestLinked)
 }
 
+// knowsNoFleet reports whether this instance has neither read the store's list of
+// instances nor linked to any, as after a start inside a cut-off data centre.
+func (v *View) knowsNoFleet() bool { return v.listedAt.IsZero() && len(v.peers) == 0 }
+
 // FollowedByAll reports whether every instance of the fleet is linked and names
 // this instance as the owner, so that no other owner can be running.
 func (v *View) FollowedByAll(now time.Time) bool {
@@ -45,11 +52,14 @@
 // isolated. Then it accepts a share of the endpoints in each data centre,
 // chosen by a hash of their ids. The share is the number of linked instances
 // there, including this one, divided by the number of all instances of the
-// fleet there.
+// fleet there. An instance that knows no fleet owns nothing.
 func (v *View) OwnershipFilter(now time.Time) func(id ident.EndpointID, dc ident.DataCentre) bool {
 	if !v.isolated {
 		return func(ident.EndpointID, ident.DataCentre) bool { return true }
 	}
+	if v.knowsNoFleet() {
+		return func(ident.EndpointID, ident.DataCentre) bool { return false }
+	}
 	type fleetCount struct{ linkedCount, all uint32 }
 	counts := map[ident.DataCentre]fleetCount{v.cfg.DataCentre: {1, 1}}
 	for _, p := range v.peers {
--- a/internal/decide/leader/view_test.go
+++ b/internal/decide/leader/view_test.go
@@ -168,6 +168,25 @@
 	is.True(v.OwnershipFilter(now)("e-1", "b"))
 }
 
+// TestUnknownFleet guards against an instance that knows no other one, since it
+// started without the store, and takes all endpoints when it gets their list
+// before that of the instances.
+func TestUnknownFleet(t *testing.T) {
+	is := is.New(t)
+	v := newView(t, 1, "a", 100)
+	now := baseTime.Add(2 * time.Second)
+	v.Tick(now)
+	is.True(v.Isolated())
+	is.True(!v.OwnershipFilter(now)("e-1", "a"))
+	v.SetMembers(now, []leader.Member{{Instance: "n-1", DataCentre: "a"}})
+	for range 50 {
+		now = now.Add(25 * time.Millisecond)
+		v.Tick(now)
+	}
+	is.True(!v.Isolated()) // it is the only one
+	is.True(v.OwnershipFilter(now)("e-1", "b"))
+}
+
 // TestRemovedMembersDoNotIsolate guards against an instance that stays isolated
 // because it still counts instances which were removed for good.
 func TestRemovedMembersDoNotIsolate(t *testing.T) {
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -17,7 +17,9 @@
 type Pool struct {
 	cfg    Config
 	active bool
-	fence  Fence
+	// activatedAt is when the pool last became active.
+	activatedAt time.Time
+	fence       Fence
 	// resumedAt is when the latest pause of the process ended. pausedUntil is
 	// when the pool may start tasks again after it, on endpoints that were
 	// polled since.
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -98,15 +98,27 @@
 	}
 }
 
-// shed refuses waiting batches that cannot end before their deadline, by the
-// work that starts before them. Tasks that can still meet their target start
-// first; those that are late or surplus get what the others leave of the
-// capacity.
+// shed refuses waiting batches that cannot end before their deadline.
 func (p *Pool) shed(now time.Time) {
 	if p.waiting.len() == 0 {
 		return
 	}
 	p.updateCapacities()
+	if len(p.sortedEndpoints) == 0 {
+		p.shedWithoutEndpoints(now)
+		return
+	}
+	hopeless := p.forecast(now)
+	p.addRefusalEvents(now, hopeless)
+	for _, b := range hopeless {
+		p.refuse(now, b, b.load.forecast.Wait())
+	}
+}
+
+// forecast returns the batches that cannot end in time, by the work that starts
+// before them. Tasks that can still meet their target start first; those that
+// are late or surplus get what the others leave of the capacity.
+func (p *Pool) forecast(now time.Time) []*batch {
 	for _, l := range p.loads {
 		l.forecast = admission.Forecast{Spare: 1, StartInterval: p.window.Interval()}
 	}
@@ -117,14 +129,33 @@
 	}
 	hopeless = append(hopeless, findHopeless(now, late, false)...)
 	hopeless = append(hopeless, findHopeless(now, inTime, true)...)
-	hopeless = append(hopeless, findHopeless(now, late, true)...)
-	p.addRefusalEvents(now, hopeless)
-	for _, b := range hopeless {
-		b.waited = now.Sub(b.placedAt)
-		p.refuse(b, b.load.forecast.Wait())
+	return append(hopeless, findHopeless(now, late, true)...)
+}
+
+// shedWithoutEndpoints refuses what waits at an owner that has known no endpoint
+// for listPatience: one that started inside a cut-off data centre, where it
+// learns neither endpoints nor peers. Another instance may serve the callers.
+func (p *Pool) shedWithoutEndpoints(now time.Time) {
+	if now.Sub(p.activatedAt) < listPatience {
+		return
+	}
+	var unstarted []*batch
+	for t := range p.waiting.all() {
+		if b := t.batch; !b.touched && !b.hopeless {
+			b.hopeless = true
+			unstarted = append(unstarted, b)
+		}
+	}
+	p.addRefusalEvents(now, unstarted)
+	for _, b := range unstarted {
+		p.refuse(now, b, p.cfg.RetryAfter)
 	}
 }
 
+// listPatience is how long a new owner without endpoints waits for their list.
+// The store or a peer usually sends it within a fraction of that.
+const listPatience = 500 * time.Millisecond
+
 // addRefusalEvents emits a RefusalEvent for each load of the batches, which are
 // about to be refused.
 func (p *Pool) addRefusalEvents(now time.Time, hopeless []*batch) {
@@ -185,7 +216,8 @@
 }
 
 // refuse ends all tasks of a batch of which nothing has started.
-func (p *Pool) refuse(b *batch, retryAfter time.Duration) {
+func (p *Pool) refuse(now time.Time, b *batch, retryAfter time.Duration) {
+	b.waited = now.Sub(b.placedAt)
 	end := job.TaskEnd{Outcome: job.Refused, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter)}
 	for _, index := range slices.Sorted(maps.Keys(b.tasks)) {
 		p.stats.Shed++
--- a/internal/decide/owner/shed_test.go
+++ b/internal/decide/owner/shed_test.go
@@ -139,6 +139,20 @@
 	f.is.Equal(len(f.refusedAfter)+f.overdue, 0)
 }
 
+// TestOwnerWithoutEndpoints guards against callers that wait to their deadline at
+// an owner that knows no endpoint, and against refusals while it has just started
+// and its list is about to arrive.
+func TestOwnerWithoutEndpoints(t *testing.T) {
+	h := newHarness(t, 0)
+	h.place(home1, order("j", 2, 10_000))
+	h.advance(300 * time.Millisecond)
+	h.is.Equal(len(h.ends), 0)
+	h.advance(300 * time.Millisecond)
+	h.is.Equal(len(h.ends), 2)
+	h.is.Equal(h.ends[0].Outcome, job.Refused)
+	h.is.True(h.ends[0].RetryAfter >= 200*time.Millisecond)
+}
+
 // TestMaxWaiting guards against a flood whose tasks take up memory without
 // bound.
 func TestMaxWaiting(t *testing.T) {
