--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -1,8 +1,11 @@
 package owner
 
 import (
+	"iter"
 	"maps"
+	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
@@ -12,7 +15,7 @@
 func (p *Pool) dispatch(now time.Time) {
 	p.heldBack = false
 	if p.mayStart(now) {
-		p.startWaiting(now, p.startable(now), len(p.waiting))
+		p.startWaiting(now, p.startable(now), math.MaxInt)
 	}
 }
 
@@ -55,13 +58,13 @@
 		}
 	}
 	slices.SortStableFunc(tasks, func(a, b *task) int { return a.batch.startBy().Compare(b.batch.startBy()) })
-	p.startReserved(now, p.reserveRoom(now, tasks, &startable))
+	p.startReserved(now, p.reserveRoom(now, slices.Values(tasks), &startable))
 }
 
 // mayStart reports whether there are waiting tasks that the pool may start. It
 // also records that the window holds them back.
 func (p *Pool) mayStart(now time.Time) bool {
-	if !p.active || len(p.waiting) == 0 || now.Before(p.pausedUntil) {
+	if !p.active || p.waiting.len() == 0 || now.Before(p.pausedUntil) {
 		return false
 	}
 	if p.window.Free(p.startsInFlight) == 0 {
@@ -74,19 +77,34 @@
 // startWaiting starts waiting tasks on endpoints. The rest of batches that have
 // started comes first, since a job is worth nothing without its last task. Tasks
 // that can still meet their target follow, in the order of their latest start,
-// and then tasks that are already late. At most limit tasks of each of the
-// latter two groups are tried.
+// then tasks that are already late, and then surplus ones. At most limit tasks of
+// each of these groups are tried.
 func (p *Pool) startWaiting(now time.Time, startable []*endpoint, limit int) {
 	if len(startable) == 0 {
 		return
 	}
-	first := p.firstInTime(now)
-	reserved := p.reserveRoom(now, p.startedRest(), &startable)
-	reserved = append(reserved, p.reserveRoom(now, p.waiting[first:min(first+limit, len(p.waiting))], &startable)...)
-	reserved = append(reserved, p.reserveRoom(now, p.waiting[:min(first, limit)], &startable)...)
+	p.waiting.compact()
+	late, inTime := p.waiting.split(now)
+	reserved := p.reserveRoom(now, slices.Values(p.startedRest()), &startable)
+	late, inTime = late[:min(limit, len(late))], inTime[:min(limit, len(inTime))]
+	for _, surplus := range []bool{false, true} {
+		reserved = append(reserved, p.reserveRoom(now, ofSurplus(inTime, surplus), &startable)...)
+		reserved = append(reserved, p.reserveRoom(now, ofSurplus(late, surplus), &startable)...)
+	}
 	p.startReserved(now, reserved)
 }
 
+// ofSurplus returns the tasks whose batch is surplus, or those whose is not.
+func ofSurplus(tasks []*task, surplus bool) iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		for _, t := range tasks {
+			if t.batch.surplus == surplus && !yield(t) {
+				return
+			}
+		}
+	}
+}
+
 // startedRest returns waiting tasks of batches of which others have started, at
 // most scanLimit and those of the batches first that started first.
 func (p *Pool) startedRest() []*task {
@@ -118,42 +136,17 @@
 	}
 }
 
-// firstInTime returns the position of the first waiting task that can still
-// meet its target.
-func (p *Pool) firstInTime(now time.Time) int {
-	first, _ := slices.BinarySearchFunc(p.waiting, now, func(t *task, now time.Time) int {
-		if t.batch.startBy().Before(now) {
-			return -1
-		}
-		return 1
-	})
-	return first
-}
-
 // startReserved starts tasks whose room is reserved.
 func (p *Pool) startReserved(now time.Time, reserved []*task) {
-	if len(reserved) == 0 {
-		return
-	}
-	if len(reserved) > maxSingleRemovals {
-		p.waiting = slices.DeleteFunc(p.waiting, func(t *task) bool { return !t.queued })
-	}
 	for _, t := range reserved {
-		if len(reserved) <= maxSingleRemovals {
-			p.removeWaiting(t)
-		}
 		p.sendStart(now, t)
 	}
 }
 
-// maxSingleRemovals is the number of started tasks up to which they are removed
-// from the queue one by one, which is faster than a pass over a long queue.
-const maxSingleRemovals = 16
-
 // canStart reports whether the endpoint may start tasks and has free
 // processors.
 func (p *Pool) canStart(now time.Time, e *endpoint) bool {
-	return e.free().CPU > 0 && !e.probationBusy() && !p.evacuated[e.DataCentre] && e.usable(now, p.cfg.MissingGrace) && p.owns(e.Endpoint)
+	return e.free().CPU > 0 && !e.polledAt.Before(p.resumedAt) && !e.probationBusy() && !p.evacuated[e.DataCentre] && e.usable(now, p.cfg.MissingGrace) && p.owns(e.Endpoint)
 }
 
 // startable returns the endpoints that may start tasks and have free
@@ -182,16 +175,16 @@
 // reserveRoom chooses endpoints for tasks in order, reserves the room there,
 // and returns the tasks that have room. It removes endpoints that are full from
 // startable.
-func (p *Pool) reserveRoom(now time.Time, tasks []*task, startable *[]*endpoint) []*task {
-	if len(tasks) == 0 || len(*startable) == 0 {
+func (p *Pool) reserveRoom(now time.Time, tasks iter.Seq[*task], startable *[]*endpoint) []*task {
+	if len(*startable) == 0 {
 		return nil
 	}
 	var reserved []*task
 	// noRoomFor is the batch whose task just found no room.
 	var noRoomFor *batch
-	polledSince, free := p.allPolledSince(), maxFree(*startable)
+	free, polledSince := maxFree(*startable), sync.OnceValue(p.allPolledSince)
 	p.searchRound++
-	for _, t := range tasks {
+	for t := range tasks {
 		if len(*startable) == 0 {
 			break
 		}
@@ -302,8 +295,8 @@
 	e.usedRoom = e.usedRoom.Add(r.room)
 	p.runsByTask[t.key] = append(p.runsByTask[t.key], r)
 	p.startsInFlight++
-	t.run, t.queued = r, false
-	t.batch.queuedTasks--
+	t.run = r
+	p.waiting.remove(t)
 	p.noteStarted(t.batch)
 	t.waited = now.Sub(t.batch.placedAt)
 	if t.batch.needs.SameRack && t.batch.rack == "" {
--- a/internal/decide/owner/ownership.go
+++ b/internal/decide/owner/ownership.go
@@ -15,7 +15,7 @@
 	if fence <= p.fence {
 		fence = p.fence.addEpochs(1)
 	}
-	p.active, p.fence, p.owns = true, fence, owns
+	p.active, p.activatedAt, p.fence, p.owns = true, now, fence, owns
 	for _, e := range p.sortedEndpoints {
 		e.fence = fence
 	}
@@ -105,7 +105,7 @@
 // DelayWaiting delays the start of all waiting tasks, since their homes may
 // have switched to another owner.
 func (p *Pool) DelayWaiting(now time.Time) {
-	for _, t := range p.waiting {
+	for t := range p.waiting.all() {
 		t.notBefore = now.Add(p.cfg.OwnerConflictDelay)
 	}
 }
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -22,10 +22,39 @@
 type load struct {
 	capacity admission.Capacity
 	arrivals admission.Meter
+	// waiting is the work of the waiting tasks that are not surplus, in seconds
+	// of the whole capacity.
+	waiting float64
 	// forecast is that of the latest search for hopeless batches.
 	forecast admission.Forecast
 }
 
+// maxSoon is the work that may wait, in time of the whole capacity, before what
+// arrives next is surplus. It is below the time that the shortest tasks may wait
+// and still meet their target.
+const maxSoon = 40 * time.Millisecond
+
+// isSurplus reports whether a batch that arrives now comes after all others.
+// This answers a load above the room: if all of it waited in one queue, all
+// would start just when it is too late, and hardly a job would meet its target.
+// So the load that can start soon does, of each kind the same share, and the
+// surplus gets what the others leave, or is refused once it is hopeless.
+func (l *load) isSurplus() bool { return l.waiting > maxSoon.Seconds() }
+
+// add counts a task that has been queued.
+func (l *load) add(t *task) {
+	if b := t.batch; !b.surplus && l.capacity.Known() {
+		t.work = l.capacity.Work(b.needs.Room, b.needs.Estimate)
+		l.waiting += t.work
+	}
+}
+
+// remove counts a task that is no longer queued.
+func (l *load) remove(t *task) {
+	l.waiting -= t.work
+	t.work = 0
+}
+
 // maxLoads bounds the loads, since callers choose the labels. Tasks with a
 // further label count towards the load of their service.
 const maxLoads = 64
@@ -62,33 +91,95 @@
 	}
 }
 
-// countArrival records that tasks of a batch have arrived.
+// countArrival records that new tasks of a batch have arrived.
 func (b *batch) countArrival(now time.Time, tasks int) {
 	if l := b.load; l.capacity.Known() {
 		l.arrivals.Add(now, float64(tasks)*l.capacity.Work(b.needs.Room, b.needs.Estimate))
 	}
 }
 
-// shed refuses waiting batches that cannot end before their deadline, by the
-// work that starts before them. Tasks that can still meet their target start
-// first; those that are late get what the others leave of the capacity.
+// shed refuses waiting batches that cannot end before their deadline.
 func (p *Pool) shed(now time.Time) {
-	if len(p.waiting) == 0 {
+	if p.waiting.len() == 0 {
 		return
 	}
 	p.updateCapacities()
+	if len(p.sortedEndpoints) == 0 {
+		p.shedWithoutEndpoints(now)
+		return
+	}
+	hopeless := p.forecast(now)
+	p.addRefusalEvents(now, hopeless)
+	for _, b := range hopeless {
+		p.refuse(now, b, b.load.forecast.Wait())
+	}
+}
+
+// forecast returns the batches that cannot end in time, by the work that starts
+// before them. Tasks that can still meet their target start first; those that
+// are late or surplus get what the others leave of the capacity.
+func (p *Pool) forecast(now time.Time) []*batch {
 	for _, l := range p.loads {
 		l.forecast = admission.Forecast{Spare: 1, StartInterval: p.window.Interval()}
 	}
-	first := p.firstInTime(now)
-	hopeless := findHopeless(now, p.waiting[first:])
+	late, inTime := p.waiting.split(now)
+	hopeless := findHopeless(now, inTime, false)
 	for _, l := range p.loads {
 		l.forecast.Spare = 1 - l.arrivals.Rate(now)
 	}
-	hopeless = append(hopeless, findHopeless(now, p.waiting[:first])...)
+	hopeless = append(hopeless, findHopeless(now, late, false)...)
+	hopeless = append(hopeless, findHopeless(now, inTime, true)...)
+	return append(hopeless, findHopeless(now, late, true)...)
+}
+
+// shedWithoutEndpoints refuses what waits at an owner that has known no endpoint
+// for listPatience: one that started inside a cut-off data centre, where it
+// learns neither endpoints nor peers. Another instance may serve the callers.
+func (p *Pool) shedWithoutEndpoints(now time.Time) {
+	if now.Sub(p.activatedAt) < listPatience {
+		return
+	}
+	var unstarted []*batch
+	for t := range p.waiting.all() {
+		if b := t.batch; !b.touched && !b.hopeless {
+			b.hopeless = true
+			unstarted = append(unstarted, b)
+		}
+	}
+	p.addRefusalEvents(now, unstarted)
+	for _, b := range unstarted {
+		p.refuse(now, b, p.cfg.RetryAfter)
+	}
+}
+
+// listPatience is how long a new owner without endpoints waits for their list.
+// The store or a peer usually sends it within a fraction of that.
+const listPatience = 500 * time.Millisecond
+
+// addRefusalEvents emits a RefusalEvent for each load of the batches, which are
+// about to be refused.
+func (p *Pool) addRefusalEvents(now time.Time, hopeless []*batch) {
+	events := map[*load]int{}
 	for _, b := range hopeless {
-		b.waited = now.Sub(b.placedAt)
-		p.refuse(b, b.load.forecast.Wait())
+		i, ok := events[b.load]
+		if !ok {
+			i = len(p.actions)
+			events[b.load] = i
+			p.actions = append(p.actions, p.newRefusalEvent(now, b))
+		}
+		e := p.actions[i].(RefusalEvent)
+		e.Jobs++
+		e.Tasks += len(b.tasks)
+		p.actions[i] = e
+	}
+}
+
+// newRefusalEvent returns an event for the load of a batch without the numbers
+// of what is refused.
+func (p *Pool) newRefusalEvent(now time.Time, b *batch) RefusalEvent {
+	return RefusalEvent{
+		Service: b.service, Label: b.needs.RequiredLabel, FirstJob: b.job, Wait: b.load.forecast.Wait(), Arriving: b.load.arrivals.Rate(now),
+		StartInterval: p.window.Interval(), Waiting: p.waiting.len(), Running: len(p.runsByTask),
 	}
 }
 
@@ -97,17 +188,18 @@
 // time that the shortest tasks run.
 const shedInterval = 50 * time.Millisecond
 
-// findHopeless returns the batches among the tasks, in the order in which they
-// start, that cannot end in time and of which nothing has started. The work of
-// the others is added to the forecasts. Tasks of a batch follow each other.
-func findHopeless(now time.Time, tasks []*task) []*batch {
+// findHopeless returns the batches among the tasks, either the surplus ones or
+// the others, that cannot end in time and of which nothing has started. The
+// tasks are in the order in which they start. The work of the others is added to
+// the forecasts. Tasks of a batch follow each other.
+func findHopeless(now time.Time, tasks []*task, surplus bool) []*batch {
 	var hopeless []*batch
 	var previous *batch
 	var work float64
 	for _, t := range tasks {
 		b := t.batch
 		l := b.load
-		if b.hopeless || !l.capacity.Known() {
+		if !t.queued || b.surplus != surplus || b.hopeless || !l.capacity.Known() {
 			continue
 		}
 		if b != previous {
@@ -124,7 +216,8 @@
 }
 
 // refuse ends all tasks of a batch of which nothing has started.
-func (p *Pool) refuse(b *batch, retryAfter time.Duration) {
+func (p *Pool) refuse(now time.Time, b *batch, retryAfter time.Duration) {
+	b.waited = now.Sub(b.placedAt)
 	end := job.TaskEnd{Outcome: job.Refused, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter)}
 	for _, index := range slices.Sorted(maps.Keys(b.tasks)) {
 		p.stats.Shed++
--- a/internal/decide/owner/shed_test.go
+++ b/internal/decide/owner/shed_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+	"hornbeamlift.example/hornbeamlift/internal/standin/leased"
 )
 
 // flooded returns a harness whose endpoints are offered several times what they
@@ -20,6 +22,8 @@
 	retryAfter   time.Duration
 	overdue      int
 	mostWaiting  int
+	// inTime counts the jobs that ended within their target.
+	inTime int
 }
 
 // flood offers jobs of one task that take 100 ms on a third of an endpoint.
@@ -42,6 +46,9 @@
 			switch {
 			case end.Outcome == job.Done:
 				f.done++
+				if waited <= 300*time.Millisecond {
+					f.inTime++
+				}
 			case end.Outcome == job.Refused && waited < 1500*time.Millisecond:
 				f.refusedAfter = append(f.refusedAfter, waited)
 				f.retryAfter = max(f.retryAfter, end.RetryAfter)
@@ -81,6 +88,71 @@
 	}
 }
 
+// TestOverloadServesInTime guards against a load a little above the room that
+// makes all jobs late, since all wait until it is nearly too late: what the
+// endpoints can run still ends in time, though estimates are off by 40%, and the
+// rest is refused.
+func TestOverloadServesInTime(t *testing.T) {
+	const endpoints, capacity = 4, 4 * 3 * 10 // as in TestFloodIsRefusedEarly
+	for _, percent := range []int{110, 130, 200} {
+		t.Run(fmt.Sprint(percent, "percent"), func(t *testing.T) {
+			f := &flooded{harness: newHarness(t, endpoints), placedAt: map[job.ID]time.Time{}}
+			rnd := rand.New(rand.NewPCG(1, 2))
+			for _, e := range f.endpoints {
+				e.PlanOf = func(job.Key) leased.RunPlan {
+					return leased.RunPlan{Duration: time.Duration(60+rnd.IntN(80)) * time.Millisecond}
+				}
+			}
+			interval := time.Second * 100 / time.Duration(percent*capacity)
+			f.flood(2*time.Second, interval)
+			f.done, f.inTime, f.refusedAfter, f.overdue = 0, 0, nil, 0
+			f.flood(5*time.Second, interval)
+			t.Logf("%d done, %d in time, %d refused, %d overdue", f.done, f.inTime, len(f.refusedAfter), f.overdue)
+			f.is.True(f.inTime >= 5*capacity*85/100)
+			f.is.Equal(f.overdue, 0)
+		})
+	}
+}
+
+// TestTakeoverIsNoFlood guards against late work that is refused while endpoints
+// are free, since the tasks that homes place again at a new owner count as
+// arriving load, although they run already or soon end.
+func TestTakeoverIsNoFlood(t *testing.T) {
+	const endpoints, capacity = 4, 4 * 3 * 10 // as in TestFloodIsRefusedEarly
+	f := &flooded{harness: newHarness(t, endpoints), placedAt: map[job.ID]time.Time{}}
+	f.flood(time.Second/2, time.Second/2/capacity) // tasks wait: the room is known
+	f.flood(2*time.Second, 3*time.Second/capacity)
+	f.done, f.refusedAfter, f.overdue, f.mostWaiting = 0, nil, 0, 0
+	again := order("again", 2*capacity, 10_000)
+	again.MayHaveStarted = true
+	f.place(home1, again)
+	f.collect(f.pool.Withdraw(home1, again.Job))
+	for i := range capacity / 3 {
+		o := order(fmt.Sprint("late-", i), 1, 10_000)
+		o.Target, o.Deadline, o.Needs.Estimate = 0, 900*time.Millisecond, 100*time.Millisecond
+		f.placedAt[o.Job] = f.now
+		f.place(home1, o)
+	}
+	f.ends = f.ends[:0]
+	f.flood(time.Second, 3*time.Second/capacity)
+	t.Logf("%d done, refused %v, overdue %d, waiting %d", f.done, f.refusedAfter, f.overdue, f.mostWaiting)
+	f.is.Equal(len(f.refusedAfter)+f.overdue, 0)
+}
+
+// TestOwnerWithoutEndpoints guards against callers that wait to their deadline at
+// an owner that knows no endpoint, and against refusals while it has just started
+// and its list is about to arrive.
+func TestOwnerWithoutEndpoints(t *testing.T) {
+	h := newHarness(t, 0)
+	h.place(home1, order("j", 2, 10_000))
+	h.advance(300 * time.Millisecond)
+	h.is.Equal(len(h.ends), 0)
+	h.advance(300 * time.Millisecond)
+	h.is.Equal(len(h.ends), 2)
+	h.is.Equal(h.ends[0].Outcome, job.Refused)
+	h.is.True(h.ends[0].RetryAfter >= 200*time.Millisecond)
+}
+
 // TestMaxWaiting guards against a flood whose tasks take up memory without
 // bound.
 func TestMaxWaiting(t *testing.T) {
