--- a/internal/decide/admission/forecast.go
+++ b/internal/decide/admission/forecast.go
@@ -80,8 +80,8 @@
 	maxWait = time.Hour
 )
 
-// Meter measures how much work arrives, as a share of the capacity. It answers a
-// load that stays above the room, and not a burst that is soon over, as when
+// Meter measures how much work arrives, as a share of the capacity. It answers
+// a load that stays above the room, and not a burst that is soon over, as when
 // jobs that gathered without an owner arrive all at once.
 type Meter struct{ short, long average }
 
--- a/internal/decide/group/layout.go
+++ b/internal/decide/group/layout.go
@@ -109,8 +109,8 @@
 	return Whole
 }
 
-// firstLayout returns the layout for an instance that has none yet: the one that
-// suits the fleet, unless all peers have settled on the other one.
+// firstLayout returns the layout for an instance that has none yet: the one
+// that suits the fleet, unless all peers have settled on the other one.
 func (f Fleet) firstLayout() Layout {
 	wanted := f.layout()
 	switch {
@@ -122,8 +122,8 @@
 	return wanted
 }
 
-// rememberLargest returns the highest number of endpoints that an instance could
-// own within strengthMemory.
+// rememberLargest returns the highest number of endpoints that an instance
+// could own within strengthMemory.
 func (d *Decider) rememberLargest(now time.Time, largest int) int {
 	if largest >= d.largestOwner || now.Sub(d.largestAt) > strengthMemory {
 		d.largestOwner, d.largestAt = largest, now
--- a/internal/decide/group/layout_test.go
+++ b/internal/decide/group/layout_test.go
@@ -43,8 +43,8 @@
 }
 
 // TestLayoutIsSteady guards against a fleet that divides because its strongest
-// instance is missing for a while, as after a failure, and against one that does
-// not divide when it is gone.
+// instance is missing for a while, as after a failure, and against one that
+// does not divide when it is gone.
 func TestLayoutIsSteady(t *testing.T) {
 	is := is.New(t)
 	var d group.Decider
--- a/internal/decide/leader/share.go
+++ b/internal/decide/leader/share.go
@@ -32,8 +32,9 @@
 	return 2*linkedCount < all || (2*linkedCount == all && !lowestLinked)
 }
 
-// knowsNoFleet reports whether this instance has neither read the store's list of
-// instances nor linked to any, as after a start inside a cut-off data centre.
+// knowsNoFleet reports whether this instance has neither read the store's list
+// of instances nor linked to any, as after a start inside a cut-off data
+// centre.
 func (v *View) knowsNoFleet() bool { return v.listedAt.IsZero() && len(v.peers) == 0 }
 
 // FollowedByAll reports whether every instance of the fleet is linked and names
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -334,8 +334,9 @@
 }
 
 // settled reports whether this instance may choose an owner. It may once it has
-// chosen one before, after Config.SettleTime unless it is held, or when the store has listed this
-// instance and all others on its latest list have sent heartbeats.
+// chosen one before, after Config.SettleTime unless it is held, or when the
+// store has listed this instance and all others on its latest list have sent
+// heartbeats.
 func (v *View) settled(now time.Time) bool {
 	if v.owner.Instance != "" || now.Sub(v.started) >= 2*v.cfg.SettleTime {
 		return true
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -151,11 +151,11 @@
 }
 
 // safeToStart reports whether the task may start. It may not while its home is
-// absent, nor before notBefore,
-// nor while another owner may have it running: until all endpoints have been
-// polled since foreignStartUntil, if that owner was of the same group and used
-// no endpoint that this one never saw, or Config.ForeignStartDelay has passed.
-// Function polledSince returns the result of allPolledSince.
+// absent, nor before notBefore, nor while another owner may have it running:
+// until all endpoints have been polled since foreignStartUntil, if that owner
+// was of the same group and used no endpoint that this one never saw, or
+// Config.ForeignStartDelay has passed. Function polledSince returns the result
+// of allPolledSince.
 func (p *Pool) safeToStart(now time.Time, polledSince func() time.Time, t *task) bool {
 	if now.Before(t.notBefore) || p.absentHomes[t.batch.home] {
 		return false
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -30,8 +30,8 @@
 }
 
 // maxSoon is the work that may wait, in time of the whole capacity, before what
-// arrives next is surplus. It is below the time that the shortest tasks may wait
-// and still meet their target.
+// arrives next is surplus. It is below the time that the shortest tasks may
+// wait and still meet their target.
 const maxSoon = 40 * time.Millisecond
 
 // isSurplus reports whether a batch that arrives now comes after all others.
@@ -132,9 +132,10 @@
 	return append(hopeless, findHopeless(now, late, true)...)
 }
 
-// shedWithoutEndpoints refuses what waits at an owner that has known no endpoint
-// for listPatience: one that started inside a cut-off data centre, where it
-// learns neither endpoints nor peers. Another instance may serve the callers.
+// shedWithoutEndpoints refuses what waits at an owner that has known no
+// endpoint for listPatience: one that started inside a cut-off data centre,
+// where it learns neither endpoints nor peers. Another instance may serve the
+// callers.
 func (p *Pool) shedWithoutEndpoints(now time.Time) {
 	if now.Sub(p.activatedAt) < listPatience {
 		return
@@ -190,8 +191,8 @@
 
 // findHopeless returns the batches among the tasks, either the surplus ones or
 // the others, that cannot end in time and of which nothing has started. The
-// tasks are in the order in which they start. The work of the others is added to
-// the forecasts. Tasks of a batch follow each other.
+// tasks are in the order in which they start. The work of the others is added
+// to the forecasts. Tasks of a batch follow each other.
 func findHopeless(now time.Time, tasks []*task, surplus bool) []*batch {
 	var hopeless []*batch
 	var previous *batch
--- a/internal/decide/owner/shed_test.go
+++ b/internal/decide/owner/shed_test.go
@@ -90,8 +90,8 @@
 
 // TestOverloadServesInTime guards against a load a little above the room that
 // makes all jobs late, since all wait until it is nearly too late: what the
-// endpoints can run still ends in time, though estimates are off by 40%, and the
-// rest is refused.
+// endpoints can run still ends in time, though estimates are off by 40%, and
+// the rest is refused.
 func TestOverloadServesInTime(t *testing.T) {
 	const endpoints, capacity = 4, 4 * 3 * 10 // as in TestFloodIsRefusedEarly
 	for _, percent := range []int{110, 130, 200} {
@@ -114,9 +114,9 @@
 	}
 }
 
-// TestTakeoverIsNoFlood guards against late work that is refused while endpoints
-// are free, since the tasks that homes place again at a new owner count as
-// arriving load, although they run already or soon end.
+// TestTakeoverIsNoFlood guards against late work that is refused while
+// endpoints are free, since the tasks that homes place again at a new owner
+// count as arriving load, although they run already or soon end.
 func TestTakeoverIsNoFlood(t *testing.T) {
 	const endpoints, capacity = 4, 4 * 3 * 10 // as in TestFloodIsRefusedEarly
 	f := &flooded{harness: newHarness(t, endpoints), placedAt: map[job.ID]time.Time{}}
@@ -139,9 +139,9 @@
 	f.is.Equal(len(f.refusedAfter)+f.overdue, 0)
 }
 
-// TestOwnerWithoutEndpoints guards against callers that wait to their deadline at
-// an owner that knows no endpoint, and against refusals while it has just started
-// and its list is about to arrive.
+// TestOwnerWithoutEndpoints guards against callers that wait to their deadline
+// at an owner that knows no endpoint, and against refusals while it has just
+// started and its list is about to arrive.
 func TestOwnerWithoutEndpoints(t *testing.T) {
 	h := newHarness(t, 0)
 	h.place(home1, order("j", 2, 10_000))
