Give log lines and errors the terms of the code

Metrics keep their names, since dashboards read them. The tests of logread, owner, leader, process and cmd pass; nothing else changes.

--- a/internal/adapter/logread/history.go
+++ b/internal/adapter/logread/history.go
@@ -24,7 +24,7 @@
 var contextMessages = map[string]bool{
 	messageState: true, messageStarted: true, "instance stopped": true, "draining": true, "owning the endpoints": true,
 	"another instance owns the endpoints": true, "peer is silent": true, "link to peer is down": true,
-	"the process was paused": true, "the part of the fleet that is heard has changed": true,
+	"the process was paused": true, "isolation has changed": true,
 	"dependency lost": true, "dependency regained": true, "configuration in force": true,
 }
 
@@ -227,7 +227,7 @@
 		l := &h.contextLines[i]
 		if l.Message == messageState && l.Instance == owner && !l.At.After(at) && at.Sub(l.At) <= maxStateAge {
 			return fmt.Sprintf("%s owned the endpoints %v before the answer: %s of %s usable, %s cooling down, %s tasks waiting, %s running, list of endpoints %s old",
-				l.Instance, at.Sub(l.At).Round(time.Millisecond), l.Text("usable"), l.Text("endpoints"), l.Text("resting"),
+				l.Instance, at.Sub(l.At).Round(time.Millisecond), l.Text("usable"), l.Text("endpoints"), l.Text("cooling-down"),
 				l.Text("waiting"), l.Text("running"), l.Text("list-age"))
 		}
 	}
--- a/internal/adapter/logread/history_test.go
+++ b/internal/adapter/logread/history_test.go
@@ -11,7 +11,7 @@
 
 // logs holds lines of several instances as a log collector may store them, out
 // of order and with text before them.
-const logs = `  2.290 entry-1 {"instance":"entry-1","msg":"state of the owner","time":"2026-01-01T10:00:02.290Z","endpoints":48,"usable":40,"held":44,"resting":3,"waiting":120,"running":71,"list-age":"364ms"}
+const logs = `  2.290 entry-1 {"instance":"entry-1","msg":"state of the owner","time":"2026-01-01T10:00:02.290Z","endpoints":48,"usable":40,"held":44,"cooling-down":3,"waiting":120,"running":71,"list-age":"364ms"}
 not a line of an instance
 {"instance":"entry-2","msg":"job answered","time":"2026-01-01T10:00:03.452Z","job":"a1","result":"finished","open":"771ms","target":"145ms","reason":"","ends":"a1.0.0.0/1 done i-1 waited 0s ran 46ms; a1.0.0.1/2 done i-2 waited 600ms ran 98ms"}
 {"instance":"entry-2","msg":"job taken","time":"2026-01-01T10:00:02.681Z","job":"a1","owner":"entry-1","tasks":2,"deadline":"2s"}
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -75,8 +75,8 @@
 }
 
 // Validate returns an error of kind fault.SettingsInvalid for the first invalid
-// field. The error names Self "self", the heartbeat intervals "pulse" and
-// HeartbeatTimeout "silence".
+// field. The error names Self "self", the heartbeat intervals
+// "heartbeat-interval" and HeartbeatTimeout "heartbeat-timeout".
 func (c Config) Validate() error {
 	invalid := func(field, detail string) error {
 		return fault.New(fault.SettingsInvalid, fault.RanNo).WithField(field).WithDetail(detail)
@@ -85,9 +85,9 @@
 	case c.Self.Instance == "":
 		return invalid("self", "must name an instance")
 	case c.HeartbeatInterval <= 0 || c.SlowHeartbeatInterval < c.HeartbeatInterval:
-		return invalid("pulse", "the heartbeat interval must be above 0 and no longer than the slow heartbeat interval")
+		return invalid("heartbeat-interval", "the heartbeat interval must be above 0 and no longer than the slow heartbeat interval")
 	case c.HeartbeatTimeout <= 2*c.HeartbeatInterval:
-		return invalid("silence", "the heartbeat timeout must exceed two heartbeat intervals")
+		return invalid("heartbeat-timeout", "the heartbeat timeout must exceed two heartbeat intervals")
 	}
 	return nil
 }
--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -151,8 +151,8 @@
 }
 
 // Validate returns an error of kind fault.SettingsInvalid for the first invalid
-// field. The error names the poll waits "look-wait", RemoteFactor "far-factor"
-// and the call timeouts "answer-min"; the other names resemble the fields.
+// field. The error names the poll waits "poll-wait" and the call timeouts
+// "min-call-timeout"; the other names resemble the fields.
 func (c Config) Validate() error {
 	invalid := func(field, detail string) error {
 		return fault.New(fault.SettingsInvalid, fault.RanNo).WithField(field).WithDetail(detail)
@@ -161,13 +161,13 @@
 	case c.LeaseMax <= 0:
 		return invalid("lease-max", "must be above 0")
 	case c.PollWait <= 0 || c.PollWait >= c.LeaseMax || c.IdlePollWait <= 0:
-		return invalid("look-wait", "the poll waits must be above 0, and that for endpoints with runs below the longest lease")
+		return invalid("poll-wait", "the poll waits must be above 0, and that for endpoints with runs below the longest lease")
 	case c.ClockError < 0 || c.ClockError > 0.5:
 		return invalid("clock-error", "must be 0 to 0.5")
 	case c.RemoteFactor < 1:
-		return invalid("far-factor", "must be at least 1")
+		return invalid("remote-factor", "must be at least 1")
 	case c.MinCallTimeout <= 0 || c.MaxCallTimeout < c.MinCallTimeout || c.CongestedCallTimeout < c.MaxCallTimeout:
-		return invalid("answer-min", "the minimum call timeout must be above 0 and at most the maximum call timeout, and that under congestion at least the maximum")
+		return invalid("min-call-timeout", "the minimum call timeout must be above 0 and at most the maximum call timeout, and that under congestion at least the maximum")
 	case c.MaxProbes < 1:
 		return invalid("max-probes", "must be at least 1")
 	case c.MaxWaiting < 1:
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -98,7 +98,7 @@
 		case dispatcher.IsolationChanged:
 			// This instance has become isolated, or no longer is.
 			// Package logread matches this message.
-			p.log.WithField("isolated", a.Isolated).Warn("the part of the fleet that is heard has changed")
+			p.log.WithField("isolated", a.Isolated).Warn("isolation has changed")
 		}
 	}
 }
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -107,10 +107,10 @@
 	defer func() { p.sinceStateLog = sinceStateLog{pollsBefore: s.Polls} }()
 	p.log.WithFields(logrus.Fields{
 		"endpoints": s.Endpoints, "usable": s.Usable, "held": s.Held, "foreign": s.Foreign, "blocked": s.Blocked,
-		"resting": s.CoolingDown, "missing": s.Missing, "waiting": s.Waiting, "running": s.Running, "stopping": s.Stopping,
-		"starts": s.Starts, "lost": s.Lost, "fenced": s.Fenced, "shed": s.Shed, "window": s.Window, "looks-failed": s.PollsFailed,
+		"cooling-down": s.CoolingDown, "missing": s.Missing, "waiting": s.Waiting, "running": s.Running, "stopping": s.Stopping,
+		"starts": s.Starts, "lost": s.Lost, "fenced": s.Fenced, "shed": s.Shed, "window": s.Window, "polls-failed": s.PollsFailed,
 		"list-age": age.Round(time.Millisecond).String(), "epoch": p.core.Epoch(),
-		"looks":  s.Polls - p.sinceStateLog.pollsBefore,
+		"polls":  s.Polls - p.sinceStateLog.pollsBefore,
 		"behind": p.sinceStateLog.maxTickInterval.Round(time.Millisecond).String(), "goroutines": runtime.NumGoroutine(), "posts": len(p.posts),
 	}).Info("state of the owner")
 }
@@ -171,7 +171,7 @@
 	p.log.WithFields(logrus.Fields{
 		"endpoint": poll.Endpoint, "reply": r.Reply.String(), "wait": poll.Wait.String(),
 		"took": p.settings.Clock.Now().Sub(r.SentAt).Round(time.Millisecond).String(), "fence": poll.Fence,
-	}).WithError(r.Cause).Info("look unanswered")
+	}).WithError(r.Cause).Info("poll unanswered")
 }
 
 // logStart logs a start that an endpoint refused or did not answer. Successful
