Do not wait for a successor that was lost together with the owner

Others notice the loss of the owner at 33.91 s, ask all peers, have the answers of a majority within 8 ms and follow the successor, which is cut off too and has not answered. They notice that at 34.19 s, after another half of the heartbeat timeout.

Change: once a majority has answered, the check gives the instance that would lead next a fifth of the heartbeat timeout (100 ms), and then passes over peers that have not answered until they send a heartbeat. Links and timeouts stay as they are, so that a slow peer loses nothing else.

--- a/internal/decide/leader/peer_check.go
+++ b/internal/decide/leader/peer_check.go
@@ -10,10 +10,11 @@
 
 // checkPeers tracks the check of the linked peers, which starts when the link
 // to the owner is lost: each of them is asked for a heartbeat. A new owner may
-// be chosen once a majority of the fleet or all linked peers have sent one.
-// Peers that have not done so within half of the heartbeat timeout are marked
-// as not linked and returned as timed out. Therefore an instance that is cut
-// off from all others is marked as isolated before it takes over endpoints.
+// be chosen once all linked peers have sent one, or a majority of the fleet and
+// the one that would lead next, which has successorTime to do so. Peers that
+// have not done so within half of the heartbeat timeout are marked as not
+// linked and returned as timed out. Therefore an instance that is cut off from
+// all others is marked as isolated before it takes over endpoints.
 func (v *View) checkPeers(now time.Time) (timedOut []ident.Process) {
 	if v.owner.Instance == "" || v.owner == v.cfg.Self || v.Linked(v.owner) {
 		v.peerCheckStarted = time.Time{}
@@ -40,12 +41,33 @@
 			pending++
 		}
 	}
-	if pending == 0 || 2*answered > all {
-		v.peerCheckStarted = time.Time{}
+	if pending == 0 || 2*answered > all && (v.successorAnswered() || now.Sub(v.peerCheckStarted) >= v.successorTime()) {
+		v.endPeerCheck()
 	}
 	return timedOut
 }
 
+// successorTime is how long a check waits for the instance that would lead next
+// once a majority has answered: several round trips.
+func (v *View) successorTime() time.Duration { return v.cfg.HeartbeatTimeout / 5 }
+
+// successorAnswered reports whether the instance that would lead next is this
+// one or has answered the current check.
+func (v *View) successorAnswered() bool {
+	first, _ := v.rank()
+	return first == v.cfg.Self || v.peers[first.Instance].lastHeard.After(v.peerCheckStarted)
+}
+
+// endPeerCheck ends the check. Peers that have not answered it are not
+// considered as leader until they send a heartbeat: they may have been lost
+// together with the owner, as when their data centre is cut off.
+func (v *View) endPeerCheck() {
+	for _, p := range v.peers {
+		p.unheard = p.linked && !p.lastHeard.After(v.peerCheckStarted)
+	}
+	v.peerCheckStarted = time.Time{}
+}
+
 // CheckingPeers reports whether a check of the peers is under way. Heartbeats
 // that are sent during a check ask the peer to answer with its own at once.
 func (v *View) CheckingPeers() bool { return !v.peerCheckStarted.IsZero() }
--- a/internal/decide/leader/rank.go
+++ b/internal/decide/leader/rank.go
@@ -59,7 +59,7 @@
 func (v *View) rank() (first, second ident.Process) {
 	candidates := []candidate{{process: v.cfg.Self, heartbeat: v.OwnHeartbeat()}}
 	for _, p := range v.peers {
-		if p.linked && p.hasHeartbeat {
+		if p.linked && p.hasHeartbeat && !p.unheard {
 			candidates = append(candidates, candidate{process: p.process, heartbeat: p.heartbeat, returning: v.returning(p)})
 		}
 	}
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -120,6 +120,9 @@
 	// hasHeartbeat is set once a heartbeat has arrived over the current link.
 	hasHeartbeat bool
 	linked       bool
+	// unheard is set if the peer has not sent a heartbeat since a check of the
+	// peers that it did not answer.
+	unheard bool
 	// lastHeard is when the link came up or the last heartbeat arrived. It is
 	// set to a later time after a pause of this process and for a grace period,
 	// so that the peer does not time out.
@@ -226,7 +229,7 @@
 	if p == nil || p.process != from || !p.linked {
 		return
 	}
-	p.heartbeat, p.hasHeartbeat, p.lastHeard = heartbeat, true, now
+	p.heartbeat, p.hasHeartbeat, p.unheard, p.lastHeard = heartbeat, true, false, now
 	v.ObserveEpoch(heartbeat.Epoch)
 	v.yieldTo(now, p)
 }
--- a/internal/decide/leader/view_test.go
+++ b/internal/decide/leader/view_test.go
@@ -334,6 +334,44 @@
 	is.True(own < 150) // one of three instances of its data centre
 }
 
+// TestSuccessorIsSilentToo guards against a takeover that waits for the
+// successor, which was lost together with the owner, as when their data centre
+// is cut off.
+func TestSuccessorIsSilentToo(t *testing.T) {
+	is := is.New(t)
+	v := newView(t, 3, "b", 100)
+	now := baseTime.Add(time.Second)
+	seniority := func(i int) leader.Seniority { return leader.Seniority(50 + 20*i) }
+	for i := range 8 {
+		if i != 3 {
+			v.HandleLinkUp(now, process(i), "a")
+			v.HandleHeartbeat(now, process(i), leader.Heartbeat{Seniority: seniority(i), Owner: process(0), Followers: 8})
+		}
+	}
+	v.Tick(now)
+	owner, _ := v.Owner()
+	is.Equal(owner, process(0))
+	lost, answerAt := now, map[int]time.Time{}
+	for owner != process(2) && now.Sub(lost) < 2*time.Second {
+		now = now.Add(5 * time.Millisecond)
+		for i, at := range answerAt {
+			if !now.Before(at) {
+				delete(answerAt, i)
+				v.HandleHeartbeat(now, process(i), leader.Heartbeat{Seniority: seniority(i), Owner: process(2), Followers: 1})
+			}
+		}
+		due, _ := v.Tick(now)
+		for i := 2; i < 8; i++ { // n-0 and n-1 are silent
+			if slices.Contains(due, process(i)) {
+				answerAt[i] = now.Add(15 * time.Millisecond)
+			}
+		}
+		owner, _ = v.Owner()
+	}
+	t.Logf("new owner after %v", now.Sub(lost))
+	is.True(now.Sub(lost) <= leader.Config{}.Defaults().HeartbeatTimeout+150*time.Millisecond)
+}
+
 // TestTakeoverAfterPeerCheck guards against a takeover that is delayed although
 // a majority of the fleet has answered the check of the peers, and against one
 // that comes later than half of the heartbeat timeout if no majority answers.
