Keep an isolated owner's share while links come back

Ruled out: the window.

Change: only instances that follow this one, or none that they hear, count for the share. TestShareDoesNotGrowWithLinks fails without it.

--- a/internal/decide/leader/share.go
+++ b/internal/decide/leader/share.go
@@ -48,12 +48,20 @@
 	return true
 }
 
+// sharesWith reports whether a peer belongs to the same part of the fleet: it is
+// linked and follows this instance, or no other owner that it hears. When a
+// network partition ends, instances that follow the owner of the other part are
+// linked again, one by one, before that owner is.
+func (v *View) sharesWith(p *peer) bool {
+	return p.linked && p.hasHeartbeat && (p.heartbeat.Owner == v.cfg.Self || p.heartbeat.Followers == 0)
+}
+
 // OwnershipFilter returns a filter that reports whether this instance may own
 // an endpoint as the leader. It accepts every endpoint, unless the instance is
 // isolated. Then it accepts a share of the endpoints in each data centre,
-// chosen by a hash of their ids. The share is the number of linked instances
-// there, including this one, divided by the number of all instances of the
-// fleet there. An instance that knows no fleet owns nothing.
+// chosen by a hash of their ids. The share is the number of instances there
+// that belong to the part of this one, divided by the number of all instances
+// of the fleet there. An instance that knows no fleet owns nothing.
 func (v *View) OwnershipFilter(now time.Time) func(id ident.EndpointID, dc ident.DataCentre) bool {
 	if !v.isolated {
 		return func(ident.EndpointID, ident.DataCentre) bool { return true }
@@ -69,7 +77,7 @@
 		}
 		count := counts[p.dataCentre]
 		count.all++
-		if p.linked {
+		if v.sharesWith(p) {
 			count.linkedCount++
 		}
 		counts[p.dataCentre] = count
--- a/internal/decide/leader/view_test.go
+++ b/internal/decide/leader/view_test.go
@@ -168,6 +168,30 @@
 	is.True(v.OwnershipFilter(now)("e-1", "b"))
 }
 
+// TestShareDoesNotGrowWithLinks guards against an isolated owner that takes
+// endpoints of the other part when the partition ends, as the links to its
+// members come back before the one to its owner.
+func TestShareDoesNotGrowWithLinks(t *testing.T) {
+	is := is.New(t)
+	v := newView(t, 1, "a", 100)
+	now := baseTime.Add(2 * time.Second)
+	v.SetMembers(now, []leader.Member{{Instance: "n-0", DataCentre: "a"}, {Instance: "n-2", DataCentre: "b"}, {Instance: "n-3", DataCentre: "b"}, {Instance: "n-4", DataCentre: "b"}})
+	v.HandleLinkUp(now, process(0), "a")
+	v.HandleHeartbeat(now, process(0), leader.Heartbeat{Seniority: 200})
+	v.Tick(now)
+	is.True(v.OwnershipFilter(now)("e-1", "a")) // both instances there are in this part
+	for i := 2; i < 4; i++ {
+		v.HandleLinkUp(now, process(i), "b")
+		is.True(!v.OwnershipFilter(now)("e-1", "b"))
+		v.HandleHeartbeat(now, process(i), leader.Heartbeat{Seniority: 200, Owner: process(4), Followers: 3})
+	}
+	v.Tick(now)
+	is.True(v.Isolated())
+	for i := range 50 {
+		is.True(!v.OwnershipFilter(now)(ident.EndpointID(fmt.Sprint("e-", i)), "b"))
+	}
+}
+
 // TestUnknownFleet guards against an instance that knows no other one, since it
 // started without the store, and takes all endpoints when it gets their list
 // before that of the instances.
