--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -75,8 +75,8 @@
 }
 
 // Validate returns an error of kind fault.SettingsInvalid for the first invalid
-// field. The error names Self "self", the heartbeat intervals "pulse" and
-// HeartbeatTimeout "silence".
+// field. The error names Self "self", the heartbeat intervals
+// "heartbeat-interval" and HeartbeatTimeout "heartbeat-timeout".
 func (c Config) Validate() error {
 	invalid := func(field, detail string) error {
 		return fault.New(fault.SettingsInvalid, fault.RanNo).WithField(field).WithDetail(detail)
@@ -85,9 +85,9 @@
 	case c.Self.Instance == "":
 		return invalid("self", "must name an instance")
 	case c.HeartbeatInterval <= 0 || c.SlowHeartbeatInterval < c.HeartbeatInterval:
-		return invalid("pulse", "the heartbeat interval must be above 0 and no longer than the slow heartbeat interval")
+		return invalid("heartbeat-interval", "the heartbeat interval must be above 0 and no longer than the slow heartbeat interval")
 	case c.HeartbeatTimeout <= 2*c.HeartbeatInterval:
-		return invalid("silence", "the heartbeat timeout must exceed two heartbeat intervals")
+		return invalid("heartbeat-timeout", "the heartbeat timeout must exceed two heartbeat intervals")
 	}
 	return nil
 }
@@ -120,6 +120,9 @@
 	// hasHeartbeat is set once a heartbeat has arrived over the current link.
 	hasHeartbeat bool
 	linked       bool
+	// unheard is set if the peer has not sent a heartbeat since a check of the
+	// peers that it did not answer.
+	unheard bool
 	// lastHeard is when the link came up or the last heartbeat arrived. It is
 	// set to a later time after a pause of this process and for a grace period,
 	// so that the peer does not time out.
@@ -226,7 +229,7 @@
 	if p == nil || p.process != from || !p.linked {
 		return
 	}
-	p.heartbeat, p.hasHeartbeat, p.lastHeard = heartbeat, true, now
+	p.heartbeat, p.hasHeartbeat, p.unheard, p.lastHeard = heartbeat, true, false, now
 	v.ObserveEpoch(heartbeat.Epoch)
 	v.yieldTo(now, p)
 }
@@ -334,8 +337,9 @@
 }
 
 // settled reports whether this instance may choose an owner. It may once it has
-// chosen one before, after Config.SettleTime unless it is held, or when the store has listed this
-// instance and all others on its latest list have sent heartbeats.
+// chosen one before, after Config.SettleTime unless it is held, or when the
+// store has listed this instance and all others on its latest list have sent
+// heartbeats.
 func (v *View) settled(now time.Time) bool {
 	if v.owner.Instance != "" || now.Sub(v.started) >= 2*v.cfg.SettleTime {
 		return true
