--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -43,12 +44,26 @@
 
 // add counts a task that has been queued.
 func (l *load) add(t *task) {
-	if b := t.batch; !b.surplus && l.capacity.Known() {
-		t.work = l.capacity.Work(b.needs.Room, b.needs.Estimate)
+	if !t.batch.surplus {
+		t.work = l.workOf(t.batch)
 		l.waiting += t.work
 	}
 }
 
+// workOf returns the time for which a task of the batch takes up the whole
+// capacity. It is zero while the capacity is unknown, and for tasks that no
+// endpoint can run, which hold nothing up.
+func (l *load) workOf(b *batch) float64 {
+	if !l.capacity.Known() {
+		return 0
+	}
+	work := l.capacity.Work(b.needs.Room, b.needs.Estimate)
+	if math.IsInf(work, 1) {
+		return 0
+	}
+	return work
+}
+
 // remove counts a task that is no longer queued.
 func (l *load) remove(t *task) {
 	l.waiting -= t.work
@@ -93,8 +108,8 @@
 
 // countArrival records that new tasks of a batch have arrived.
 func (b *batch) countArrival(now time.Time, tasks int) {
-	if l := b.load; l.capacity.Known() {
-		l.arrivals.Add(now, float64(tasks)*l.capacity.Work(b.needs.Room, b.needs.Estimate))
+	if work := b.load.workOf(b); work > 0 {
+		b.load.arrivals.Add(now, float64(tasks)*work)
 	}
 }
 
@@ -204,7 +219,7 @@
 			continue
 		}
 		if b != previous {
-			previous, work = b, l.capacity.Work(b.needs.Room, b.needs.Estimate)
+			previous, work = b, l.workOf(b)
 		}
 		if !b.touched && now.Add(l.forecast.Wait()+b.needs.Estimate).After(b.deadline) {
 			b.hopeless = true
--- a/internal/decide/owner/shed_test.go
+++ b/internal/decide/owner/shed_test.go
@@ -139,6 +139,30 @@
 	f.is.Equal(len(f.refusedAfter)+f.overdue, 0)
 }
 
+// TestImpossibleTaskHoldsNothingUp guards against a job that no endpoint can run
+// and that makes all others look hopeless: its work is more than any capacity.
+func TestImpossibleTaskHoldsNothingUp(t *testing.T) {
+	const endpoints, capacity = 4, 4 * 3 * 10 // as in TestFloodIsRefusedEarly
+	f := &flooded{harness: newHarness(t, endpoints), placedAt: map[job.ID]time.Time{}}
+	f.flood(time.Second/2, time.Second/2/capacity) // tasks wait: the room is known
+	f.flood(2*time.Second, 2*time.Second/capacity)
+	impossible := order("impossible", 1, 10_000)
+	impossible.Needs.Room.GPU, impossible.Deadline = 1, time.Minute
+	f.place(home1, impossible)
+	f.done, f.refusedAfter, f.overdue = 0, nil, 0
+	for round := range 8 {
+		for i := range capacity / 5 { // 200 ms of work at once
+			o := order(fmt.Sprintf("r-%d-%d", round, i), 1, 10_000)
+			o.Needs.Estimate = 100 * time.Millisecond
+			f.placedAt[o.Job] = f.now
+			f.place(home1, o)
+		}
+		f.flood(300*time.Millisecond, time.Hour)
+	}
+	f.is.Equal(len(f.refusedAfter)+f.overdue, 0)
+	f.is.True(f.done >= 8*capacity/5)
+}
+
 // TestOwnerWithoutEndpoints guards against callers that wait to their deadline
 // at an owner that knows no endpoint, and against refusals while it has just
 // started and its list is about to arrive.
