Log who reported the ends of a job, and whom its home follows

A refusal that turns out to be untrue can have several causes: an earlier owner reports it after the tasks went to the next one, or the owner itself ends a task as refused that may have run. The line "job answered" could not tell them apart. It now names the instance that reported each end, and the owner that the home followed when it answered.

--- a/internal/decide/home/completion.go
+++ b/internal/decide/home/completion.go
@@ -54,7 +54,7 @@
 	// Once maxKeptEnds ends are kept, an end that is not Done replaces the last
 	// one, which closeOrAdvance reads. Further Done ends are dropped.
 	if len(j.ends) < maxKeptEnds || end.Outcome != job.Done {
-		j.ends = append(j.ends[:min(len(j.ends), maxKeptEnds-1)], *end)
+		j.ends = append(j.ends[:min(len(j.ends), maxKeptEnds-1)], ReceivedEnd{TaskEnd: *end, From: from})
 	}
 	task.minRun = max(task.minRun, end.Run+1)
 	switch end.Outcome {
@@ -155,10 +155,14 @@
 		retryAfter = defaultRetryAfter
 	}
 	t.keepResult(now, j.spec.ID, result)
-	t.actions = append(t.actions, Answer{
+	answer := Answer{
 		Requests: j.requests, Job: j.spec.ID, Result: result, RetryAfter: retryAfter, OpenFor: now.Sub(j.opened),
 		Target: j.target.Sub(j.opened), Deadline: j.deadline.Sub(j.opened), Reason: reason, Route: j.settings.Route, ConfigVersion: j.settings.ConfigVersion, Ends: j.ends,
-	})
+	}
+	if t.ownerKnown {
+		answer.Owner = t.owner
+	}
+	t.actions = append(t.actions, answer)
 }
 
 // keepResult keeps a result for callers that submit the job again, and evicts
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -89,9 +89,18 @@
 	// ConfigVersion is the version of the configuration that set the job's
 	// settings.
 	ConfigVersion uint64
+	// Owner is the owner that the table followed at the end of the job, or
+	// empty.
+	Owner ident.Process
 	// Ends holds the first ends of tasks, at most maxKeptEnds. After that, an
 	// end with another outcome than job.Done replaces the last of them.
-	Ends []job.TaskEnd
+	Ends []ReceivedEnd
+}
+
+// ReceivedEnd is the end of a task with the process that reported it.
+type ReceivedEnd struct {
+	job.TaskEnd
+	From ident.Process
 }
 
 func (Place) action()    {}
@@ -139,7 +148,7 @@
 	mayHaveRun bool
 	// refused holds the tasks that the owner refused.
 	refused map[job.Key]bool
-	ends    []job.TaskEnd
+	ends    []ReceivedEnd
 }
 
 // keptResult is the result of a closed job, kept for callers that submit the
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -136,11 +136,13 @@
 	ends := make([]string, len(a.Ends))
 	for i, e := range a.Ends {
 		ends[i] = e.Key.String() + "/" + strconv.Itoa(e.Run) + " " + e.Outcome.String() + " " + string(e.Endpoint) +
-			" waited " + e.Waited.Round(time.Millisecond).String() + " ran " + e.RunTime.Round(time.Millisecond).String()
+			" waited " + e.Waited.Round(time.Millisecond).String() + " ran " + e.RunTime.Round(time.Millisecond).String() +
+			" from " + string(e.From.Instance)
 	}
 	p.log.WithFields(logrus.Fields{
 		"job": a.Job, "route": a.Route, "result": a.Result.String(), "open": a.OpenFor.Round(time.Millisecond).String(),
 		"target": a.Target.Round(time.Millisecond).String(), "reason": a.Reason, "config-version": a.ConfigVersion, "deadline": a.Deadline.Round(time.Millisecond).String(), "ends": strings.Join(ends, "; "),
+		"owner": a.Owner.Instance,
 	}).Info("job answered")
 }
 
