Answer a job as refused only when no placement of it is open

Cause: the home counted refusals of tasks whoever reported them, and for which order. After a change of the owner the earlier owner's refusals, still on their way, closed the job while the next owner held the same tasks; only the Withdraw that followed usually arrived before they started. A refusal of the next owner alone closed the job as well while the earlier one, cut off from the home, could still start what it held, and only the next one was told to withdraw. A late refusal for an earlier submission of the same job had the same effect.

Change: the home numbers its orders, and ends repeat the number. A placement is open until its own process has reported an end for its own number. A job is answered as refused only if nothing of it can have run and no placement is open; otherwise it is overdue (504), which promises nothing. Refusals for an earlier placement no longer close a job that a later owner has. Jobs that end unfinished are withdrawn from every process with an open placement. The promise no longer depends on the order in which messages arrive.

An instance that runs the code before this change does not repeat the number; its refusals then count for nothing, and the job ends at its deadline.

--- a/internal/adapter/logread/history.go
+++ b/internal/adapter/logread/history.go
@@ -236,7 +236,7 @@
 
 // slowestResult returns the task result with the longest sum of waiting and run
 // time. The home instance logs results as
-// "TASK/RUN OUTCOME ENDPOINT waited D ran D from INSTANCE; ...".
+// "TASK/RUN OUTCOME ENDPOINT waited D ran D from INSTANCE for order N; ...".
 func slowestResult(ends string) string {
 	var longest time.Duration
 	found := ""
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -134,6 +134,8 @@
 	// later steps. Deadline is the time left until the caller gives up.
 	Target   time.Duration
 	Deadline time.Duration
+	// Placement numbers the orders of a home. The ends of the tasks repeat it.
+	Placement uint64
 	// MayHaveStarted is set if another owner may already have started the
 	// tasks. PlacedWhole is set if that owner may have owned the endpoints of
 	// the whole fleet, and not only those of the home's data centre.
@@ -151,7 +153,8 @@
 	Done Outcome = iota + 1
 	// Failed: the run failed, because of the task or of the endpoint.
 	Failed
-	// Refused: the owner gave up on the task, and no part of it has run.
+	// Refused: the owner gave up on the task, and no part of it has run. This
+	// says nothing about other placements of the task.
 	Refused
 	// Overdue: the owner gave up on the task, and it may have run in part.
 	Overdue
@@ -179,10 +182,12 @@
 
 // TaskEnd reports to the home of a task how the task has ended.
 type TaskEnd struct {
-	Key      Key
-	Run      int
-	Outcome  Outcome
-	Endpoint ident.EndpointID
+	Key Key
+	// Placement is the Order.Placement of the latest order for the task.
+	Placement uint64
+	Run       int
+	Outcome   Outcome
+	Endpoint  ident.EndpointID
 	// RunTime is the duration of the run, and Waited how long the task waited
 	// before it started.
 	RunTime time.Duration
--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -460,6 +460,10 @@
 				c.applyPoolActions(now, c.pool.Withdraw(c.self, a.Job))
 				continue
 			}
+			// An owner drops the tasks of homes whose link is lost.
+			if _, linked := c.groups.linked[a.To]; !linked {
+				continue
+			}
 			c.pending = append(c.pending, Send{To: a.To, Message: Withdrawal(a.Job)})
 		case home.Answer:
 			c.pending = append(c.pending, a)
--- a/internal/decide/home/completion.go
+++ b/internal/decide/home/completion.go
@@ -31,9 +31,11 @@
 
 // recordEnd records one end of a task and reports whether the state of the job
 // may have changed. It ignores keys that are out of range or have an occurrence
-// other than 0, and tasks that are done. If the current owner has rejected the
-// task with job.NotOwner, the open tasks of the job are placed again after
-// placeRetryDelay.
+// other than 0, and tasks that are done. Ends that are neither Done nor Failed
+// count only if they belong to the latest placement of the task: an earlier
+// owner may report them after the task has gone to another one. If the owner has
+// rejected the task with job.NotOwner, the open tasks of the job are placed
+// again after placeRetryDelay.
 func (t *Table) recordEnd(now time.Time, j *openJob, from ident.Process, end *job.TaskEnd) bool {
 	k := end.Key
 	if k.Step >= len(j.steps) || k.Index >= len(j.steps[k.Step].tasks) || k.Occurrence != 0 {
@@ -44,15 +46,16 @@
 	if task.done {
 		return false
 	}
+	latest := task.closePlacement(from, end)
 	if end.Outcome == job.NotOwner {
-		if t.ownerKnown && from == t.owner {
+		if latest && t.ownerKnown && from == t.owner {
 			t.rejectedJobs[j.spec.ID] = true
 			t.placeAgainAt = now.Add(placeRetryDelay)
 		}
 		return false
 	}
 	// Once maxKeptEnds ends are kept, an end that is not Done replaces the last
-	// one, which closeOrAdvance reads. Further Done ends are dropped.
+	// one. Further Done ends are dropped.
 	if len(j.ends) < maxKeptEnds || end.Outcome != job.Done {
 		j.ends = append(j.ends[:min(len(j.ends), maxKeptEnds-1)], ReceivedEnd{TaskEnd: *end, From: from})
 	}
@@ -65,17 +68,15 @@
 	case job.Failed:
 		j.mayHaveRun = true
 		task.failures++
-		if task.failures < j.settings.Attempts {
+		if latest && task.failures < j.settings.Attempts {
 			t.retryTask(now, j, k)
 		}
-	case job.Refused:
-		if j.refused == nil {
-			j.refused = map[job.Key]bool{}
-		}
-		j.refused[k] = true
 	case job.Overdue:
 		j.mayHaveRun = true
 	}
+	if latest && (end.Outcome == job.Refused || end.Outcome == job.Overdue) {
+		j.abort = end
+	}
 	return true
 }
 
@@ -85,9 +86,7 @@
 	if !t.ownerKnown {
 		return
 	}
-	o := t.newOrder(now, j, k.Step)
-	o.Indexes = []int{k.Index}
-	o.MinRuns = []int{j.steps[k.Step].tasks[k.Index].minRun}
+	o := t.newOrder(now, j, k.Step, []int{k.Index})
 	t.actions = append(t.actions, Place{To: t.owner, Orders: []job.Order{o}})
 }
 
@@ -108,48 +107,28 @@
 		t.close(now, j, Finished, "", 0)
 		return
 	}
-	if n := len(j.ends); n > 0 {
-		switch last := &j.ends[n-1]; last.Outcome {
-		case job.Refused:
-			t.close(now, j, j.abortResult(), "the owner refused a task", last.RetryAfter)
-			return
-		case job.Overdue:
-			t.close(now, j, Overdue, "the owner gave up a task that may have run", last.RetryAfter)
-			return
+	if j.abort != nil {
+		reason := "the owner refused a task"
+		if j.abort.Outcome == job.Overdue {
+			reason = "the owner gave up a task that may have run"
 		}
+		t.close(now, j, j.abortResult(), reason, j.abort.RetryAfter)
+		return
 	}
 	t.placeReadySteps(now, j)
 }
 
-// abortResult returns the result of an aborted job: Refused if none of its
-// tasks can have run, or else Overdue.
-func (j *openJob) abortResult() Result {
-	if j.mayHaveRun || len(j.refused) < j.pendingTasks() {
-		return Overdue
-	}
-	return Refused
-}
-
-// pendingTasks returns the number of tasks that are not done in the steps that
-// were placed.
-func (j *openJob) pendingTasks() int {
-	n := 0
-	for i := range j.steps {
-		if j.steps[i].placed {
-			n += j.steps[i].remaining
-		}
-	}
-	return n
-}
-
 // close answers the requests of a job and removes it from the table. If the job
-// has not finished, its tasks are withdrawn from the owner. If retryAfter is
-// zero, callers are told to retry after defaultRetryAfter.
+// has not finished, its tasks are withdrawn from all processes that may still
+// start them. If retryAfter is zero, callers are told to retry after
+// defaultRetryAfter.
 func (t *Table) close(now time.Time, j *openJob, result Result, reason string, retryAfter time.Duration) {
 	delete(t.jobs, j.spec.ID)
 	delete(t.rejectedJobs, j.spec.ID)
-	if result != Finished && j.tasksPlaced && t.ownerKnown {
-		t.actions = append(t.actions, Withdraw{To: t.owner, Job: j.spec.ID})
+	if result != Finished {
+		for _, to := range j.openAt() {
+			t.actions = append(t.actions, Withdraw{To: to, Job: j.spec.ID})
+		}
 	}
 	if retryAfter == 0 {
 		retryAfter = defaultRetryAfter
@@ -221,11 +200,7 @@
 	slices.Sort(expired)
 	for _, id := range expired {
 		j := t.jobs[id]
-		result := Overdue
-		if !j.tasksPlaced {
-			result = Refused
-		}
-		t.close(now, j, result, "the deadline passed", 0)
+		t.close(now, j, j.abortResult(), "the deadline passed", 0)
 	}
 	if len(t.rejectedJobs) > 0 && t.ownerKnown && !now.Before(t.placeAgainAt) {
 		var orders []job.Order
--- /dev/null
+++ b/internal/decide/home/placement.go
@@ -0,0 +1,59 @@
+package home
+
+import (
+	"slices"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+)
+
+// placement is an order for a task at a process that has not reported an end of
+// the task for it. While a placement is open, that process may have started the
+// task, or may start it.
+type placement struct {
+	number uint64
+	to     ident.Process
+}
+
+// place records that the task goes to a process with an order.
+func (s *taskState) place(p placement) {
+	s.placements = append(s.placements, p)
+	s.lastPlacement = p.number
+}
+
+// closePlacement closes the placement that an end belongs to, and reports
+// whether it was the latest one of the task. An end for an earlier placement, or
+// for an earlier submission of the job, shows nothing about the latest one.
+func (s *taskState) closePlacement(from ident.Process, end *job.TaskEnd) (latest bool) {
+	i := slices.Index(s.placements, placement{number: end.Placement, to: from})
+	if i < 0 {
+		return false
+	}
+	s.placements = slices.Delete(s.placements, i, i+1)
+	return end.Placement == s.lastPlacement
+}
+
+// openAt returns the processes with open placements of the job's tasks, each
+// once, in the order of the tasks.
+func (j *openJob) openAt() []ident.Process {
+	var list []ident.Process
+	for i := range j.steps {
+		for k := range j.steps[i].tasks {
+			for _, p := range j.steps[i].tasks[k].placements {
+				if !slices.Contains(list, p.to) {
+					list = append(list, p.to)
+				}
+			}
+		}
+	}
+	return list
+}
+
+// abortResult returns the result of a job that ends unfinished: Refused if none
+// of its tasks has run and no process may still start one, or else Overdue.
+func (j *openJob) abortResult() Result {
+	if j.mayHaveRun || len(j.openAt()) > 0 {
+		return Overdue
+	}
+	return Refused
+}
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -41,7 +41,8 @@
 	Finished Result = iota + 1
 	// Failed: a task failed on all its attempts.
 	Failed
-	// Refused: the job was aborted, none of its tasks ran, and none will.
+	// Refused: the job was aborted, none of its tasks ran, and none will: every
+	// process that its tasks were placed at has refused them.
 	Refused
 	// Overdue: the job was aborted, and some of its tasks may have run, whether
 	// its deadline has passed or not.
@@ -65,7 +66,7 @@
 	Orders []job.Order
 }
 
-// Withdraw tells the owner to drop the tasks of a job that was closed with
+// Withdraw tells a process to drop the tasks of a job that was closed with
 // another result than Finished.
 type Withdraw struct {
 	To  ident.Process
@@ -112,6 +113,10 @@
 	failures int
 	// minRun is the lowest number that the next run may have.
 	minRun int
+	// placements holds the open placements. lastPlacement is the number of the
+	// latest one, open or not.
+	placements    []placement
+	lastPlacement uint64
 }
 
 type stepState struct {
@@ -140,15 +145,13 @@
 	// pathAfter is the estimated time of the longest path that follows each
 	// step.
 	pathAfter []time.Duration
-	// tasksPlaced is set once tasks of the job have been placed at an owner.
-	tasksPlaced bool
 	// mayHaveRun is set once an end shows that a task of the job has run or may
 	// have run. It stays false until the first such end arrives, also while
 	// tasks run.
 	mayHaveRun bool
-	// refused holds the tasks that the owner refused.
-	refused map[job.Key]bool
-	ends    []ReceivedEnd
+	// abort is the end that aborts the job, or nil.
+	abort *job.TaskEnd
+	ends  []ReceivedEnd
 }
 
 // keptResult is the result of a closed job, kept for callers that submit the
@@ -174,8 +177,8 @@
 	// defaultRetryAfter is the default delay after which callers of a job that
 	// did not finish are told to retry.
 	defaultRetryAfter = time.Second
-	// maxKeptEnds bounds the ends of tasks that are kept of a job. They are
-	// written to the log, and closeOrAdvance reads the last one.
+	// maxKeptEnds bounds the ends of tasks that are kept of a job, which are
+	// written to the log.
 	maxKeptEnds = 4
 )
 
@@ -192,7 +195,9 @@
 	// job.NotOwner. They are placed again at placeAgainAt.
 	rejectedJobs map[job.ID]bool
 	placeAgainAt time.Time
-	actions      []Action
+	// lastPlacement is the number of the latest order.
+	lastPlacement uint64
+	actions       []Action
 }
 
 // New returns an empty table.
@@ -282,11 +287,10 @@
 	for i := range j.steps {
 		if s := &j.steps[i]; !s.placed && j.ready(i) {
 			s.placed = true
-			orders = append(orders, t.newOrder(now, j, i))
+			orders = append(orders, t.newOrder(now, j, i, j.steps[i].openTasks()))
 		}
 	}
 	if len(orders) > 0 {
-		j.tasksPlaced = true
 		t.actions = append(t.actions, Place{To: t.owner, Orders: orders})
 	}
 }
@@ -301,19 +305,31 @@
 	return true
 }
 
-// newOrder returns an order for the tasks of a step that are not done.
-func (t *Table) newOrder(now time.Time, j *openJob, step int) job.Order {
+// openTasks returns the indexes of the tasks that are not done.
+func (s *stepState) openTasks() []int {
+	var indexes []int
+	for k := range s.tasks {
+		if !s.tasks[k].done {
+			indexes = append(indexes, k)
+		}
+	}
+	return indexes
+}
+
+// newOrder returns an order of tasks of a step for the owner, and records the
+// placement of these tasks.
+func (t *Table) newOrder(now time.Time, j *openJob, step int, indexes []int) job.Order {
 	s := &j.spec.Steps[step]
+	t.lastPlacement++
 	j.steps[step].placedWhole = j.steps[step].placedWhole || t.whole
 	o := job.Order{
-		Job: j.spec.ID, Step: step, Service: j.settings.Service, Payload: j.spec.Payload, Needs: s.Needs,
+		Job: j.spec.ID, Step: step, Placement: t.lastPlacement, Indexes: indexes, Service: j.settings.Service, Payload: j.spec.Payload, Needs: s.Needs,
 		Target: j.target.Sub(now) - j.pathAfter[step], Deadline: j.deadline.Sub(now), MayHaveStarted: j.steps[step].placedAgain, PlacedWhole: j.steps[step].placedWhole,
 	}
-	for k := range j.steps[step].tasks {
-		if task := &j.steps[step].tasks[k]; !task.done {
-			o.Indexes = append(o.Indexes, k)
-			o.MinRuns = append(o.MinRuns, task.minRun)
-		}
+	for _, k := range indexes {
+		task := &j.steps[step].tasks[k]
+		task.place(placement{number: t.lastPlacement, to: t.owner})
+		o.MinRuns = append(o.MinRuns, task.minRun)
 	}
 	return o
 }
@@ -354,10 +370,9 @@
 				s.tasks[k].minRun += runNumberGap
 			}
 		}
-		orders = append(orders, t.newOrder(now, j, i))
+		orders = append(orders, t.newOrder(now, j, i, s.openTasks()))
 		s.placed = true
 	}
-	j.tasksPlaced = true
 	return orders
 }
 
--- a/internal/decide/home/table_test.go
+++ b/internal/decide/home/table_test.go
@@ -43,8 +43,9 @@
 	return list
 }
 
+// end returns an end for the first order of a table.
 func end(step, index, run int, o job.Outcome) job.TaskEnd {
-	return job.TaskEnd{Key: job.Key{Job: "j", Step: step, Index: index}, Run: run, Outcome: o}
+	return job.TaskEnd{Key: job.Key{Job: "j", Step: step, Index: index}, Placement: 1, Run: run, Outcome: o}
 }
 
 func newTable() *home.Table {
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -65,6 +65,7 @@
 			p.addTask(now, b, index, o.MinRuns[i], o)
 			continue
 		}
+		t.placement = o.Placement
 		if o.MayHaveStarted && t.run == nil {
 			t.foreignStartUntil, t.nextRun = now, max(t.nextRun, o.MinRuns[i])
 			t.otherGroup = t.otherGroup || p.outsideGroup(b.home, o)
@@ -75,6 +76,7 @@
 
 // endTasks reports the same end for all tasks of an order, which are not added.
 func (p *Pool) endTasks(home ident.Process, o *job.Order, end job.TaskEnd) {
+	end.Placement = o.Placement
 	for _, index := range o.Indexes {
 		end.Key = job.Key{Job: o.Job, Step: o.Step, Index: index}
 		p.pendingEnds[home] = append(p.pendingEnds[home], end)
@@ -85,9 +87,10 @@
 // adopted if no home has claimed it, and stopped otherwise.
 func (p *Pool) addTask(now time.Time, b *batch, index, minRun int, o *job.Order) {
 	t := &task{
-		batch:   b,
-		key:     job.Key{Job: b.job, Step: b.step, Index: index},
-		nextRun: minRun,
+		batch:     b,
+		key:       job.Key{Job: b.job, Step: b.step, Index: index},
+		placement: o.Placement,
+		nextRun:   minRun,
 	}
 	b.tasks[index] = t
 	for _, r := range slices.Clone(p.runsByTask[t.key]) {
@@ -255,7 +258,7 @@
 
 // finishTask reports the end of a task and drops it.
 func (p *Pool) finishTask(t *task, end job.TaskEnd) {
-	end.Key, end.Waited = t.key, t.waited
+	end.Key, end.Placement, end.Waited = t.key, t.placement, t.waited
 	p.pendingEnds[t.batch.home] = append(p.pendingEnds[t.batch.home], end)
 	p.dropTask(t)
 }
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -54,6 +54,8 @@
 type task struct {
 	batch *batch
 	key   job.Key
+	// placement is the number of the latest order for the task.
+	placement uint64
 	// run is the current run, or nil while the task waits.
 	run *run
 	// nextRun is the number of the next run.
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -137,7 +137,7 @@
 	for i, e := range a.Ends {
 		ends[i] = e.Key.String() + "/" + strconv.Itoa(e.Run) + " " + e.Outcome.String() + " " + string(e.Endpoint) +
 			" waited " + e.Waited.Round(time.Millisecond).String() + " ran " + e.RunTime.Round(time.Millisecond).String() +
-			" from " + string(e.From.Instance)
+			" from " + string(e.From.Instance) + " for order " + strconv.FormatUint(e.Placement, 10)
 	}
 	p.log.WithFields(logrus.Fields{
 		"job": a.Job, "route": a.Route, "result": a.Result.String(), "open": a.OpenFor.Round(time.Millisecond).String(),
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -83,6 +83,7 @@
 			EstimateUs: uint32(o.Needs.Estimate.Microseconds()), RequiredLabel: o.Needs.RequiredLabel,
 			Affinity: o.Needs.Affinity, SameRack: o.Needs.SameRack, MaxPerEndpoint: uint32(o.Needs.MaxPerEndpoint),
 			TargetUs: o.Target.Microseconds(), DeadlineUs: o.Deadline.Microseconds(), Handed: o.MayHaveStarted, PlacedWhole: o.PlacedWhole,
+			Placement: o.Placement,
 		}
 		for k := range o.Indexes {
 			m.Indexes = append(m.Indexes, uint32(o.Indexes[k]))
@@ -110,7 +111,7 @@
 			},
 			Target:         time.Duration(m.GetTargetUs()) * time.Microsecond,
 			Deadline:       time.Duration(m.GetDeadlineUs()) * time.Microsecond,
-			MayHaveStarted: m.GetHanded(), PlacedWhole: m.GetPlacedWhole(),
+			MayHaveStarted: m.GetHanded(), PlacedWhole: m.GetPlacedWhole(), Placement: m.GetPlacement(),
 		}
 		for k := range m.GetIndexes() {
 			o.Indexes = append(o.Indexes, int(m.GetIndexes()[k]))
@@ -137,6 +138,7 @@
 			Job: string(e.Key.Job), Step: uint32(e.Key.Step), Index: uint32(e.Key.Index), Run: uint32(e.Run),
 			Outcome: uint32(e.Outcome), Endpoint: string(e.Endpoint), RanUs: uint32(e.RunTime.Microseconds()),
 			WaitedUs: uint32(e.Waited.Microseconds()), RetryAfterMs: uint32(e.RetryAfter.Milliseconds()),
+			Placement: e.Placement,
 		}
 	}
 	return &peerpb.Message{Body: &peerpb.Message_TaskEnds{TaskEnds: body}}
@@ -151,6 +153,7 @@
 			RunTime:    time.Duration(m.GetRanUs()) * time.Microsecond,
 			Waited:     time.Duration(m.GetWaitedUs()) * time.Microsecond,
 			RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+			Placement:  m.GetPlacement(),
 		}
 	}
 	return ends
