End a task as refused after many refused starts only if it cannot have run

Cause: after maxStartRefusals the owner ended a task as refused, whatever became of its earlier starts. The answer to one of them may be lost, so that it was carried out, and another owner may have started the task. The path for tasks whose deadline passes already looked at both.

Change: both paths use endUnserved, which decides between refused and overdue in one place.

Evidence: two of the three cases of TestRefusedStartsAfterLostAnswer failed before ("refused != overdue").

--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -276,16 +276,21 @@
 	}
 }
 
-// giveUp ends a waiting task. It is overdue if it may have run in part, and
-// refused otherwise.
+// giveUp ends a waiting task.
 func (p *Pool) giveUp(now time.Time, t *task) {
 	t.waited = now.Sub(t.batch.placedAt)
 	p.stats.Refused++
-	outcome := job.Refused
+	p.endUnserved(t, job.TaskEnd{RetryAfter: p.cfg.RetryAfter})
+}
+
+// endUnserved ends a task that this owner gives up. It is refused if no part of
+// it can have run, here or at another owner, and overdue otherwise.
+func (p *Pool) endUnserved(t *task, end job.TaskEnd) {
+	end.Outcome = job.Refused
 	if t.mayHaveRun || !t.foreignStartUntil.IsZero() {
-		outcome = job.Overdue
+		end.Outcome = job.Overdue
 	}
-	p.finishTask(t, job.TaskEnd{Outcome: outcome, RetryAfter: p.cfg.RetryAfter})
+	p.finishTask(t, end)
 }
 
 // requeue puts a task back into the queue for another run.
--- /dev/null
+++ b/internal/decide/owner/refusal_test.go
@@ -0,0 +1,54 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+)
+
+// refuseStarts answers all starts with the reply until the task has ended. The
+// endpoints go on answering polls and stops.
+func (h *harness) refuseStarts(reply owner.Reply) {
+	for end := h.now.Add(time.Minute); len(h.ends) == 0 && h.now.Before(end); {
+		starts := h.starts
+		h.starts = nil
+		for _, s := range starts {
+			h.collect(h.pool.HandleCallResult(h.now, &owner.CallResult{Call: s.Number, Reply: reply}))
+		}
+		h.answerStops()
+		h.advance(20 * time.Millisecond)
+		h.answerPolls()
+	}
+}
+
+// TestRefusedStartsAfterLostAnswer guards against a task that ends as refused,
+// which says that it has not run, after many refused starts although the answer
+// to an earlier one was lost, or another owner may have started it.
+func TestRefusedStartsAfterLostAnswer(t *testing.T) {
+	cases := map[string]struct {
+		mayHaveStarted, lostAnswer bool
+		outcome                    job.Outcome
+	}{
+		"all refused":                     {false, false, job.Refused},
+		"the first answer was lost":       {false, true, job.Overdue},
+		"another owner may have begun it": {true, false, job.Overdue},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			o := order("j", 1, 10_000)
+			o.Deadline, o.MayHaveStarted = time.Minute, c.mayHaveStarted
+			h.place(home1, o)
+			if c.lostAnswer {
+				start := h.starts[0]
+				h.starts = nil
+				h.collect(h.pool.HandleCallResult(h.now, &owner.CallResult{Call: start.Number, Reply: owner.Unknown}))
+			}
+			h.refuseStarts(owner.Unhealthy)
+			h.is.Equal(len(h.ends), 1)
+			h.is.Equal(h.ends[0].Outcome, c.outcome)
+		})
+	}
+}
--- a/internal/decide/owner/start.go
+++ b/internal/decide/owner/start.go
@@ -96,7 +96,7 @@
 	}
 	t.refusals++
 	if t.refusals >= maxStartRefusals {
-		p.finishTask(t, job.TaskEnd{Run: r.id.run, Outcome: job.Refused, Endpoint: e.ID, RetryAfter: p.cfg.RetryAfter})
+		p.endUnserved(t, job.TaskEnd{Run: r.id.run, Endpoint: e.ID, RetryAfter: p.cfg.RetryAfter})
 		return
 	}
 	p.requeue(t)
@@ -146,7 +146,7 @@
 	// the endpoint has ended this run or a later one, for example one for an
 	// earlier home of the job.
 	runNumberGap = 100
-	// maxStartRefusals is the number of refused starts after which a task is
-	// refused.
+	// maxStartRefusals is the number of refused starts after which the owner
+	// gives up a task.
 	maxStartRefusals = 20
 )
