Do not refuse a waiting batch that another owner had meanwhile

Cause: when a home places a batch at A, at B and at A again, A may still hold it from the first time. Its tasks then got the time up to which another owner may have started them, but the batch still counted as one of which nothing has started, so that the search for hopeless work refused it as not run.

Change: the batch counts as begun, like one that arrives for the first time after another owner had it, and refusals of batches use endUnserved as well.

Evidence: TestPlacedAgainNotRefused failed before (the job was among the refused ones).

--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -67,6 +67,7 @@
 		}
 		t.placement = o.Placement
 		if o.MayHaveStarted && t.run == nil {
+			p.noteStarted(b)
 			t.foreignStartUntil, t.nextRun = now, max(t.nextRun, o.MinRuns[i])
 			t.otherGroup = t.otherGroup || p.outsideGroup(b.home, o)
 		}
--- a/internal/decide/owner/refusal_test.go
+++ b/internal/decide/owner/refusal_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,29 @@
 		})
 	}
 }
+
+// TestPlacedAgainNotRefused guards against a waiting job that is refused as not
+// run after it was placed here again because another owner had it meanwhile.
+func TestPlacedAgainNotRefused(t *testing.T) {
+	h := newHarness(t, 1)
+	for i := range 60 {
+		h.place(home1, order(fmt.Sprint("j-", i), 1, 10_000))
+	}
+	again := order("j-59", 1, 10_000)
+	again.MayHaveStarted, again.Placement = true, 2
+	h.place(home1, again)
+	h.answerStarts()
+	for range 200 {
+		h.advance(10 * time.Millisecond)
+		h.answerPolls()
+		h.answerStarts()
+	}
+	refused := 0
+	for _, e := range h.ends {
+		if e.Outcome == job.Refused {
+			refused++
+			h.is.True(e.Key.Job != "j-59")
+		}
+	}
+	h.is.True(refused > 0) // the other hopeless jobs
+}
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -234,12 +234,12 @@
 // refuse ends all tasks of a batch of which nothing has started.
 func (p *Pool) refuse(now time.Time, b *batch, retryAfter time.Duration) {
 	b.waited = now.Sub(b.placedAt)
-	end := job.TaskEnd{Outcome: job.Refused, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter)}
+	end := job.TaskEnd{RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter)}
 	for _, index := range slices.Sorted(maps.Keys(b.tasks)) {
 		p.stats.Shed++
 		t := b.tasks[index]
 		t.waited = b.waited
-		p.finishTask(t, end)
+		p.endUnserved(t, end)
 	}
 }
 
