Count a task as possibly run from the moment its start is sent

Cause: a task counted as possibly run only once the reply to its start had arrived while its run was still known. A poll may list the run before that, and the run may be lost before the start is answered, for example because its endpoint restarts; the late reply then found no run and was ignored, and the task could end as refused.

Change: sending a start makes the task one that may have run. Only a reply which shows that the endpoint did nothing takes that back, and only for a task that could not have run before and whose run no poll has listed.

Evidence: TestListedRunNotRefused failed before ("refused != overdue").

--- a/internal/decide/owner/protocol.go
+++ b/internal/decide/owner/protocol.go
@@ -88,6 +88,10 @@
 // String returns the reply in kebab case.
 func (r Reply) String() string { return replyNames[r] }
 
+// didNothing reports whether the reply to a start shows that the endpoint has
+// not run the task for it.
+func (r Reply) didNothing() bool { return r != OK && r != Unknown }
+
 // RunStatus is an entry in an endpoint's list of current runs.
 type RunStatus struct {
 	Key job.Key
--- a/internal/decide/owner/refusal_test.go
+++ b/internal/decide/owner/refusal_test.go
@@ -79,3 +79,25 @@
 	}
 	h.is.True(refused > 0) // the other hopeless jobs
 }
+
+// TestListedRunNotRefused guards against a task that ends as refused although a
+// poll has shown its run, because the run was lost before its start was answered.
+func TestListedRunNotRefused(t *testing.T) {
+	h := newHarness(t, 1)
+	h.place(home1, order("j", 1, 10_000))
+	start := h.starts[0]
+	h.endpoints[start.Endpoint].Start(h.now, start)
+	h.advance(10 * time.Millisecond)
+	h.answerPolls()
+	h.endpoints[start.Endpoint].Restart(h.now) // the run ends without a result
+	for range 20 {
+		h.advance(10 * time.Millisecond)
+		h.answerPolls()
+		h.answerStops()
+	}
+	h.collect(h.pool.HandleCallResult(h.now, &owner.CallResult{Call: start.Number, Reply: owner.Unknown}))
+	h.starts = nil
+	h.refuseStarts(owner.Unhealthy)
+	h.is.Equal(len(h.ends), 1)
+	h.is.Equal(h.ends[0].Outcome, job.Overdue)
+}
--- a/internal/decide/owner/start.go
+++ b/internal/decide/owner/start.go
@@ -51,8 +51,8 @@
 
 func (p *Pool) handleStartResult(now time.Time, r *run, result *CallResult, superseded bool) {
 	e, t := r.endpoint, r.task
-	if t != nil && (result.Reply == OK || result.Reply == Unknown) {
-		t.mayHaveRun = true
+	if t != nil && r.firstToRun && r.phase == starting && result.Reply.didNothing() {
+		t.mayHaveRun = false
 	}
 	switch result.Reply {
 	case OK:
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -70,8 +70,8 @@
 	// notBefore delays the start, since the task's home may have switched to
 	// another owner.
 	notBefore time.Time
-	// mayHaveRun is set once a start of the task got the reply OK or Unknown,
-	// or a run of it was adopted.
+	// mayHaveRun is set when a start of the task is sent, until its reply shows
+	// that the endpoint did nothing, and once a run of it was adopted.
 	mayHaveRun bool
 	// queued is set while the task waits in Pool.waiting, until room is reserved
 	// for it. listed is set while the list of that queue holds it.
@@ -123,5 +123,7 @@
 	// runs, or a stop and a poll after it, then shows whether the run exists.
 	startUnconfirmed   bool
 	startUnconfirmedAt time.Time
+	// firstToRun is set if the task could not have run when the start was sent.
+	firstToRun bool
 	percent            int
 }
