Take a start refused as an old run for a sign that the task has run

Cause: an endpoint that refuses a start since a run of the task has ended there may have run it for an earlier submission, whose caller got no answer. The task could still end as refused, and the caller was told that its job never ran.

Change: such a reply no longer shows that the endpoint did nothing.

Evidence: the case "a run of the task has ended" of TestRefusedStartsAfterLostAnswer failed before ("refused != overdue").

--- a/internal/decide/owner/protocol.go
+++ b/internal/decide/owner/protocol.go
@@ -89,8 +89,8 @@
 func (r Reply) String() string { return replyNames[r] }
 
 // didNothing reports whether the reply to a start shows that the endpoint has
-// not run the task for it.
-func (r Reply) didNothing() bool { return r != OK && r != Unknown }
+// not run the task. OldRun may be the trace of a run for an earlier submission.
+func (r Reply) didNothing() bool { return r != OK && r != Unknown && r != OldRun }
 
 // RunStatus is an entry in an endpoint's list of current runs.
 type RunStatus struct {
--- a/internal/decide/owner/refusal_test.go
+++ b/internal/decide/owner/refusal_test.go
@@ -26,15 +26,18 @@
 
 // TestRefusedStartsAfterLostAnswer guards against a task that ends as refused,
 // which says that it has not run, after many refused starts although the answer
-// to an earlier one was lost, or another owner may have started it.
+// to an earlier one was lost, another owner may have started it, or the endpoint
+// says that a run of it has ended there.
 func TestRefusedStartsAfterLostAnswer(t *testing.T) {
 	cases := map[string]struct {
 		mayHaveStarted, lostAnswer bool
+		reply                      owner.Reply
 		outcome                    job.Outcome
 	}{
-		"all refused":                     {false, false, job.Refused},
-		"the first answer was lost":       {false, true, job.Overdue},
-		"another owner may have begun it": {true, false, job.Overdue},
+		"all refused":                     {false, false, owner.Unhealthy, job.Refused},
+		"the first answer was lost":       {false, true, owner.Unhealthy, job.Overdue},
+		"another owner may have begun it": {true, false, owner.Unhealthy, job.Overdue},
+		"a run of the task has ended":     {false, false, owner.OldRun, job.Overdue},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -47,7 +50,7 @@
 				h.starts = nil
 				h.collect(h.pool.HandleCallResult(h.now, &owner.CallResult{Call: start.Number, Reply: owner.Unknown}))
 			}
-			h.refuseStarts(owner.Unhealthy)
+			h.refuseStarts(c.reply)
 			h.is.Equal(len(h.ends), 1)
 			h.is.Equal(h.ends[0].Outcome, c.outcome)
 		})
