--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -125,5 +125,5 @@
 	startUnconfirmedAt time.Time
 	// firstToRun is set if the task could not have run when the start was sent.
 	firstToRun bool
-	percent            int
+	percent    int
 }
