Withdraw the tasks of a finished job from owners that still have them

Cause: the home took an end from any owner, but withdrew nothing from the others when it finished the job. When the tasks had gone to the next owner while the report of the earlier one was on its way, the next owner kept them and could start them again after they were done (TWICE).

Change: a finished job is withdrawn from every process with an open placement, like one that ends unfinished. Without a change of the owner there is none, so that no message is added.

What remains: a job of which only some tasks are done by the earlier owner's report stays at the next owner with all of them.

Evidence: TestFinishedJobWithdrawnFromLaterOwner failed before (no Withdraw).

--- a/internal/decide/home/completion.go
+++ b/internal/decide/home/completion.go
@@ -118,17 +118,15 @@
 	t.placeReadySteps(now, j)
 }
 
-// close answers the requests of a job and removes it from the table. If the job
-// has not finished, its tasks are withdrawn from all processes that may still
-// start them. If retryAfter is zero, callers are told to retry after
-// defaultRetryAfter.
+// close answers the requests of a job and removes it from the table. Its tasks
+// are withdrawn from all processes that may still start them, also when the job
+// is finished: a later owner may have tasks that an earlier one has run. If
+// retryAfter is zero, callers are told to retry after defaultRetryAfter.
 func (t *Table) close(now time.Time, j *openJob, result Result, reason string, retryAfter time.Duration) {
 	delete(t.jobs, j.spec.ID)
 	delete(t.rejectedJobs, j.spec.ID)
-	if result != Finished {
-		for _, to := range j.openAt() {
-			t.actions = append(t.actions, Withdraw{To: to, Job: j.spec.ID})
-		}
+	for _, to := range j.openAt() {
+		t.actions = append(t.actions, Withdraw{To: to, Job: j.spec.ID})
 	}
 	if retryAfter == 0 {
 		retryAfter = defaultRetryAfter
--- a/internal/decide/home/placement_test.go
+++ b/internal/decide/home/placement_test.go
@@ -98,3 +98,15 @@
 	is.Equal(answersOf(actions)[0].Result, home.Overdue)
 	is.Equal(withdrawnFrom(actions), []ident.Process{owner1, owner2})
 }
+
+// TestFinishedJobWithdrawnFromLaterOwner guards against a task that a later owner
+// starts again after the earlier one has reported that it is done.
+func TestFinishedJobWithdrawnFromLaterOwner(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	orders := ordersOf(table.Submit(baseTime, 1, spec(step(2)), settings, time.Second))
+	table.SetOwner(baseTime, owner2, true)
+	actions := table.HandleEnds(baseTime, owner1, endsOf(orders[0], job.Done))
+	is.Equal(answersOf(actions)[0].Result, home.Finished)
+	is.Equal(withdrawnFrom(actions), []ident.Process{owner2})
+}
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -66,8 +66,7 @@
 	Orders []job.Order
 }
 
-// Withdraw tells a process to drop the tasks of a job that was closed with
-// another result than Finished.
+// Withdraw tells a process to drop the tasks of a job that was closed.
 type Withdraw struct {
 	To  ident.Process
 	Job job.ID
