Count runs from other submissions of a job as runs of its tasks

Cause: a task that a caller has submitted again through another home started as one that cannot have run, although the owner knew a run of it from the earlier submission, or found one with a poll. If it was then given up, its caller got 503, which says that the job never ran. (The earlier submission got no such answer, so that the rule REFUSED itself does not cover this.)

Change: a run that is known when the task arrives, or is found later, makes the task one that may have run.

Evidence: TestResubmittedJobNotRefused failed before ("refused != overdue").

--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -95,6 +95,7 @@
 	}
 	b.tasks[index] = t
 	for _, r := range slices.Clone(p.runsByTask[t.key]) {
+		t.mayHaveRun = true
 		t.nextRun = max(t.nextRun, r.id.run+1)
 		if t.run == nil && !r.claimed && r.phase == running {
 			p.adopt(now, t, r)
--- a/internal/decide/owner/poll.go
+++ b/internal/decide/owner/poll.go
@@ -173,10 +173,12 @@
 		if b.step != id.key.Step || t == nil || id.key.Occurrence != 0 {
 			continue
 		}
-		t.nextRun = max(t.nextRun, id.run+1)
+		t.nextRun, t.mayHaveRun = max(t.nextRun, id.run+1), true
 		if t.run == nil {
 			p.waiting.remove(t)
 			p.adopt(now, t, r)
+		} else {
+			t.run.firstToRun = false
 		}
 		return
 	}
--- a/internal/decide/owner/refusal_test.go
+++ b/internal/decide/owner/refusal_test.go
@@ -104,3 +104,16 @@
 	h.is.Equal(len(h.ends), 1)
 	h.is.Equal(h.ends[0].Outcome, job.Overdue)
 }
+
+// TestResubmittedJobNotRefused guards against a task that ends as refused although
+// a run of it is there from an earlier submission through another home.
+func TestResubmittedJobNotRefused(t *testing.T) {
+	h := newHarness(t, 1)
+	h.place(home1, order("j", 1, 10_000))
+	h.answerStarts()
+	h.place(home2, order("j", 1, 10_000))
+	h.answerStops()
+	h.refuseStarts(owner.Unhealthy)
+	h.is.Equal(len(h.ends), 1)
+	h.is.Equal(h.ends[0].Outcome, job.Overdue)
+}
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -71,7 +71,7 @@
 	// another owner.
 	notBefore time.Time
 	// mayHaveRun is set when a start of the task is sent, until its reply shows
-	// that the endpoint did nothing, and once a run of it was adopted.
+	// that the endpoint did nothing, and once a run of it was found or adopted.
 	mayHaveRun bool
 	// queued is set while the task waits in Pool.waiting, until room is reserved
 	// for it. listed is set while the list of that queue holds it.
