--- a/internal/standin/fleet/bench_test.go
+++ b/internal/standin/fleet/bench_test.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -76,6 +76,8 @@
 	arrival  arrival
 	response time.Duration
 	failed   bool
+	// failure says why the submission failed, for the test's output.
+	failure string
 	// endedAt is the time since the start of the run.
 	endedAt time.Duration
 }
@@ -135,7 +137,7 @@
 			answer, err := submit(ctx, call)
 			endedAt := time.Since(began)
 			samples[i] = sample{arrival: a, response: endedAt - a.at, endedAt: endedAt,
-				failed: err != nil || answer.State != work.Complete}
+				failed: err != nil || answer.State != work.Complete, failure: fmt.Sprint(err, answer.Failures)}
 		}()
 	}
 	wg.Wait()
@@ -316,7 +318,7 @@
 			is.Equal(len(m.samples), len(schedule))
 			for i, s := range m.samples {
 				if s.failed {
-					t.Error("failed request " + strconv.Itoa(i))
+					t.Errorf("request %d failed: %s", i, s.failure)
 				}
 			}
 		})
