Start tasks at once that only a process without endpoints has rejected

Cause: every order for tasks that were placed before said that another owner may have started them, also when the only process that had them has answered that it owns no endpoints.

Change: an order says so only if another placement of one of its tasks is open, which the home knows since placements are numbered. This replaces the flag placedAgain.

--- a/internal/decide/home/placement_test.go
+++ b/internal/decide/home/placement_test.go
@@ -110,3 +110,15 @@
 	is.Equal(answersOf(actions)[0].Result, home.Finished)
 	is.Equal(withdrawnFrom(actions), []ident.Process{owner2})
 }
+
+// TestRejectedOrderHasNotStarted guards against tasks that wait for polls of all
+// endpoints only because they first went to a process that owned none.
+func TestRejectedOrderHasNotStarted(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	first := ordersOf(table.Submit(baseTime, 1, spec(step(2)), settings, time.Second))
+	table.HandleEnds(baseTime, owner1, endsOf(first[0], job.NotOwner))
+	second := ordersOf(table.Tick(baseTime.Add(100 * time.Millisecond)))
+	is.Equal(len(second), 1)
+	is.True(!second[0].MayHaveStarted)
+}
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -123,10 +123,6 @@
 	// placedWhole is set once tasks of the step have been placed while the
 	// fleet was one group as far as this instance knew.
 	placedWhole bool
-	// placedAgain is set once the open tasks of the step have been placed again
-	// at a new owner or after a rejection, since another owner may have started
-	// them. The retry of a failed task does not set it.
-	placedAgain bool
 	// remaining is the number of tasks that are not done.
 	remaining int
 	tasks     []taskState
@@ -323,10 +319,11 @@
 	j.steps[step].placedWhole = j.steps[step].placedWhole || t.whole
 	o := job.Order{
 		Job: j.spec.ID, Step: step, Placement: t.lastPlacement, Indexes: indexes, Service: j.settings.Service, Payload: j.spec.Payload, Needs: s.Needs,
-		Target: j.target.Sub(now) - j.pathAfter[step], Deadline: j.deadline.Sub(now), MayHaveStarted: j.steps[step].placedAgain, PlacedWhole: j.steps[step].placedWhole,
+		Target: j.target.Sub(now) - j.pathAfter[step], Deadline: j.deadline.Sub(now), PlacedWhole: j.steps[step].placedWhole,
 	}
 	for _, k := range indexes {
 		task := &j.steps[step].tasks[k]
+		o.MayHaveStarted = o.MayHaveStarted || len(task.placements) > 0
 		task.place(placement{number: t.lastPlacement, to: t.owner})
 		o.MinRuns = append(o.MinRuns, task.minRun)
 	}
@@ -364,7 +361,6 @@
 			continue
 		}
 		if s.placed {
-			s.placedAgain = true
 			for k := range s.tasks {
 				s.tasks[k].minRun += runNumberGap
 			}
