Place a rejected job once at the next owner

Cause: a job that a process without endpoints has rejected was noted to be placed again after 30 ms, and kept the note when a new owner got its tasks before that. The tick then placed them a second time at the new owner, with the claim that another owner may have started them: they waited for polls of all endpoints, and could not be refused as not run any more.

Change: placing the open tasks of a job takes the note back.

Evidence: TestRejectedJobPlacedOnceAtNextOwner failed before (1 further order).

--- a/internal/decide/home/placement_test.go
+++ b/internal/decide/home/placement_test.go
@@ -122,3 +122,20 @@
 	is.Equal(len(second), 1)
 	is.True(!second[0].MayHaveStarted)
 }
+
+// TestRejectedJobPlacedOnceAtNextOwner guards against a job that is placed twice
+// at the next owner, with the claim that another owner may have started it,
+// because an earlier owner has rejected it.
+func TestRejectedJobPlacedOnceAtNextOwner(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	first := ordersOf(table.Submit(baseTime, 1, spec(step(2)), settings, time.Second))
+	table.HandleEnds(baseTime, owner1, endsOf(first[0], job.NotOwner))
+	second := ordersOf(table.SetOwner(baseTime.Add(10*time.Millisecond), owner2, true))
+	is.Equal(len(second), 1)
+	is.True(!second[0].MayHaveStarted)
+	is.Equal(len(ordersOf(table.Tick(baseTime.Add(100*time.Millisecond)))), 0)
+	list := answersOf(table.HandleEnds(baseTime.Add(110*time.Millisecond), owner2, endsOf(second[0], job.Refused)))
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Result, home.Refused)
+}
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -354,6 +354,7 @@
 // whether they were placed before or not. It raises the run numbers of tasks
 // that were placed before.
 func (t *Table) ordersForOwner(now time.Time, j *openJob) []job.Order {
+	delete(t.rejectedJobs, j.spec.ID)
 	var orders []job.Order
 	for i := range j.steps {
 		s := &j.steps[i]
