Test refusals while owners change and endpoints restart

TestRefusalSchedules is a second kind of random schedules for the promise of a refusal: links whose messages are late in order, owners that refuse what arrives while some tasks wait, owners that change every few hundred milliseconds, endpoints that restart and refuse starts. The check is stricter than before, also for TestRandomSchedules, which plays the same as before otherwise: a refused job fails if any of its runs has ever started.

--- a/internal/decide/dispatcher/endpoint_test.go
+++ b/internal/decide/dispatcher/endpoint_test.go
@@ -21,6 +21,14 @@
 // beyond the wait that a poll asks for.
 const callTimeout = 200 * time.Millisecond
 
+// start carries out a start, unless the endpoint refuses it.
+func (f *fleet) start(s *simEndpoint, a owner.Start) owner.CallResult {
+	if s.refusedShare > 0 && f.chance(s.refusedShare) {
+		return owner.CallResult{Call: a.Number, Reply: owner.Full}
+	}
+	return s.fake.Start(f.now, a)
+}
+
 // sendCall delivers a start or stop to an endpoint, at once or late. Its answer
 // may be lost; the instance then gets the reply owner.Unknown after
 // callTimeout.
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -74,6 +74,7 @@
 	down          bool
 	lateShare     float64 // share of calls that are carried out late
 	lostShare     float64 // share of answers that are lost
+	refusedShare  float64 // share of starts that are refused
 	drainingSince time.Time
 	// storeCutSince is when the endpoint lost its connection to the store, or
 	// zero.
@@ -93,6 +94,11 @@
 	pending        bool
 	// submittedTo is the process that the latest submission went to.
 	submittedTo ident.Process
+	// deadline is that of each submission, and limit their greatest number.
+	deadline time.Duration
+	limit    int
+	// started is set once a run of a task has started.
+	started bool
 	// completions counts, for each task, the runs that completed.
 	completions map[job.Key]int
 }
@@ -121,7 +127,12 @@
 	running  map[job.Key]map[int]*simEndpoint
 	starts   int
 	finished int
+	refused  int
 	cfg      dispatcher.Config
+	// linkNumbers counts the links that each pair of instances has had.
+	linkNumbers map[[2]int]int
+	// slow delays messages, unless it is nil: then all take a millisecond.
+	slow *slowLinks
 	// strength is that of all instances.
 	strength group.Strength
 	// divisions counts the instances that saw the fleet divided, once for each
@@ -155,7 +166,7 @@
 		strength: strength,
 		t:        t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
 		instanceCuts: map[[2]int]bool{}, endpointCuts: map[[2]int]bool{}, jobsByID: map[job.ID]*simJob{},
-		running: map[job.Key]map[int]*simEndpoint{},
+		running: map[job.Key]map[int]*simEndpoint{}, linkNumbers: map[[2]int]int{},
 	}
 	for i := range endpoints {
 		s := &simEndpoint{index: i}
@@ -323,6 +334,7 @@
 			return
 		}
 		a.links[b.index], b.links[a.index] = pb, pa
+		f.linkNumbers[pair(a.index, b.index)]++
 		f.deliver(a, pa, func() { f.apply(a, a.core.HandleLinkUp(f.clock(a), pb, b.dc)) })
 		f.deliver(b, pb, func() { f.apply(b, b.core.HandleLinkUp(f.clock(b), pa, a.dc)) })
 	})
@@ -364,7 +376,7 @@
 			f.poll(n, a)
 		case owner.Start:
 			f.logf("instance %d sends start %v run %d to %v under epoch %d", n.index, a.Key, a.Run, a.Endpoint, a.Fence.Epoch())
-			f.sendCall(n, a.Endpoint, func(s *simEndpoint) owner.CallResult { return s.fake.Start(f.now, a) }, a.Number)
+			f.sendCall(n, a.Endpoint, func(s *simEndpoint) owner.CallResult { return f.start(s, a) }, a.Number)
 		case owner.Stop:
 			f.sendCall(n, a.Endpoint, func(s *simEndpoint) owner.CallResult { return s.fake.Stop(f.now, a) }, a.Number)
 		case owner.RunEvent:
@@ -411,6 +423,10 @@
 			}
 			continue
 		}
+		if f.slow != nil {
+			f.slow.send(f, n, o, s)
+			continue
+		}
 		if f.instanceCuts[pair(n.index, o.index)] {
 			return
 		}
--- a/internal/decide/dispatcher/jobs_test.go
+++ b/internal/decide/dispatcher/jobs_test.go
@@ -30,7 +30,7 @@
 // newJob adds a random job.
 func (f *fleet) newJob() *simJob {
 	id := job.ID(fmt.Sprintf("j%d", len(f.simJobs)))
-	j := &simJob{spec: job.Spec{ID: id, Payload: string(id)}, completions: map[job.Key]int{}}
+	j := &simJob{spec: job.Spec{ID: id, Payload: string(id)}, deadline: deadline, limit: 4, completions: map[job.Key]int{}}
 	for i := range 1 + f.rng.IntN(2) {
 		s := job.Step{Tasks: 1 + f.rng.IntN(4)}
 		s.Room = job.Room{CPU: 8000 + f.rng.Int64N(12_000), Memory: 64}
@@ -63,7 +63,7 @@
 	p := n.process
 	n.requests[r] = j
 	settings := home.RouteSettings{Service: service, Attempts: 2, Stretch: 2, Latency: 100 * time.Millisecond}
-	f.deliver(n, p, func() { f.apply(n, n.core.Submit(f.clock(n), r, j.spec, settings, deadline)) })
+	f.deliver(n, p, func() { f.apply(n, n.core.Submit(f.clock(n), r, j.spec, settings, j.deadline)) })
 	if f.chance(0.05) {
 		f.at(time.Duration(f.rng.Int64N(int64(time.Second))), func() {
 			if n.process != p || n.requests[r] != j {
@@ -80,10 +80,10 @@
 }
 
 // resubmit submits a lost or refused job to a random instance after a delay, as
-// its caller does, with at most four submissions.
+// its caller does, until it has given up.
 func (f *fleet) resubmit(j *simJob, delay time.Duration) {
 	j.pending = false
-	if j.submissions >= 4 {
+	if j.submissions >= j.limit {
 		return
 	}
 	f.at(delay, func() {
@@ -119,6 +119,7 @@
 				}
 			}
 		case home.Refused:
+			f.refused++
 			j.refused++
 			f.checkRefusedNotRun(j)
 			f.resubmit(j, a.RetryAfter)
@@ -130,8 +131,8 @@
 	}
 }
 
-// checkRefusedNotRun fails if a task of the job is running or has completed
-// although all submissions of the job were refused.
+// checkRefusedNotRun fails if a task of the job has started although all
+// submissions of the job were refused.
 func (f *fleet) checkRefusedNotRun(j *simJob) {
 	if j.refused < j.submissions {
 		return
@@ -141,8 +142,8 @@
 			f.t.Fatalf("%v: job %s was refused, but task %v is running", f.now, j.spec.ID, key)
 		}
 	}
-	if len(j.completions) > 0 {
-		f.t.Fatalf("%v: job %s was refused, but some of its tasks completed", f.now, j.spec.ID)
+	if j.started {
+		f.t.Fatalf("%v: job %s was refused, but some of its tasks have run", f.now, j.spec.ID)
 	}
 }
 
@@ -151,6 +152,7 @@
 	f.starts++
 	f.logf("endpoint %d starts %v run %d", s.index, key, run)
 	j := f.jobsByID[key.Job]
+	j.started = true
 	step := j.spec.Steps[key.Step]
 	for i, o := range f.running[key] {
 		if !o.down {
