Wait for polls before a task placed again during its start starts again

Cause: when a home places a task at an owner again, because another owner had it meanwhile, the owner skipped a task whose start was on the way. If the endpoint then refused that start, the owner took the task for one that cannot have run, and started it again at once, although the owner in between may run it.

Change: the time up to which another owner may have started it is noted also for tasks with a run.

Evidence: TestPlacedAgainDuringStart failed before (a start without a poll).

--- a/internal/decide/home/placement_test.go
+++ b/internal/decide/home/placement_test.go
@@ -48,6 +48,7 @@
 		"both refuse":                              {[]report{{owner1, 0, job.Refused}, {owner2, 1, job.Refused}}, home.Refused, nil},
 		"one does not own, the other refuses":      {[]report{{owner1, 0, job.NotOwner}, {owner2, 1, job.Refused}}, home.Refused, nil},
 		"the earlier owner refuses another order":  {[]report{{owner1, 1, job.Refused}, {owner2, 1, job.Refused}}, home.Overdue, []ident.Process{owner1}},
+		"the same order twice":                     {[]report{{owner1, 0, job.Refused}, {owner1, 0, job.Refused}, {owner2, 1, job.Refused}}, home.Refused, nil},
 		"the earlier owner refuses after it began": {[]report{{owner1, 0, job.Overdue}, {owner2, 1, job.Refused}}, home.Overdue, nil},
 	}
 	for name, c := range cases {
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -12,9 +12,9 @@
 )
 
 // Place adds the tasks of a home. Runs of the tasks that the pool found on
-// endpoints are adopted. Tasks that the pool already has keep their run; those
-// without a run may get a higher run number and wait for polls of all endpoints
-// if another owner may have started them.
+// endpoints are adopted. Tasks that the pool already has keep their run. If
+// another owner may have started them, their next run may get a higher number
+// and waits for polls of all endpoints.
 func (p *Pool) Place(now time.Time, home ident.Process, orders []job.Order) []Action {
 	mayHaveStarted := false
 	var placed []*batch
@@ -66,7 +66,8 @@
 			continue
 		}
 		t.placement = o.Placement
-		if o.MayHaveStarted && t.run == nil {
+		// The start of a task with a run may still be refused.
+		if o.MayHaveStarted {
 			p.noteStarted(b)
 			t.foreignStartUntil, t.nextRun = now, max(t.nextRun, o.MinRuns[i])
 			t.otherGroup = t.otherGroup || p.outsideGroup(b.home, o)
--- a/internal/decide/owner/refusal_test.go
+++ b/internal/decide/owner/refusal_test.go
@@ -117,3 +117,22 @@
 	h.is.Equal(len(h.ends), 1)
 	h.is.Equal(h.ends[0].Outcome, job.Overdue)
 }
+
+// TestPlacedAgainDuringStart guards against a task that is refused as not run, or
+// that starts again without polls of the endpoints, after it was placed here again
+// while an endpoint had not answered its start, since another owner had it.
+func TestPlacedAgainDuringStart(t *testing.T) {
+	h := newHarness(t, 1)
+	h.place(home1, order("j", 1, 10_000))
+	start := h.starts[0]
+	h.starts = nil
+	again := order("j", 1, 10_000)
+	again.MayHaveStarted, again.Placement = true, 2
+	h.place(home1, again)
+	h.polls = nil
+	h.collect(h.pool.HandleCallResult(h.now, &owner.CallResult{Call: start.Number, Reply: owner.Late}))
+	h.is.Equal(len(h.starts), 0) // no poll has been answered since
+	h.refuseStarts(owner.Unhealthy)
+	h.is.Equal(len(h.ends), 1)
+	h.is.Equal(h.ends[0].Outcome, job.Overdue)
+}
