Check the entries of endpoints strictly

Cause: parseEntry checked that fields were present, not what they held.

What is invalid is logged once for each entry, with the field.

--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -160,6 +160,7 @@
 func (p *Process) runEndpointList(ctx context.Context) error {
 	var cache endpointCache
 	dep := dependency{log: p.log.WithField("dependency", "list of endpoints in the store")}
+	ignored := ignoredEntries{log: p.log.WithField("list", "endpoints")}
 	for ctx.Err() == nil {
 		if !p.endpointListNeeded() {
 			cache = endpointCache{}
@@ -179,6 +180,9 @@
 			p.sleep(storeRetryDelay)
 			continue
 		}
+		for _, row := range update.Rows {
+			ignored.report(string(row.ID), row.Invalid)
+		}
 		list := cache.apply(update)
 		p.post(func(now time.Time) { p.handleEndpointList(now, list) })
 		p.waitForListRequest(p.settings.ListInterval)
--- a/internal/process/dispatch/store_cache.go
+++ b/internal/process/dispatch/store_cache.go
@@ -13,7 +13,9 @@
 type EndpointRow struct {
 	ID       ident.EndpointID
 	Endpoint owner.Endpoint
-	Removed  bool
+	// Removed is also set if the entry is invalid, and Invalid then says why.
+	Removed bool
+	Invalid error
 }
 
 // EndpointUpdate is what a read of the endpoints returned: all of them if Whole
