--- a/internal/core/fault/fault.go
+++ b/internal/core/fault/fault.go
@@ -183,6 +183,18 @@
 	return From(err).Kind
 }
 
+// Has reports whether an *Error of the kind is anywhere in err's chain.
+func Has(err error, kind Kind) bool {
+	var e *Error
+	for errors.As(err, &e) {
+		if e.Kind == kind {
+			return true
+		}
+		err = e.Cause
+	}
+	return false
+}
+
 // From returns the first *Error in err's chain. If there is none, it wraps err
 // with kind Internal and RanUnknown.
 func From(err error) *Error {
