Check the keys of instances strictly

What callers saw: nothing here. In a test, a key of another writer under the instances' prefix counted as an instance with any address, data centre and strength: thousandths of a core overflow in Strength.Endpoints, and a large number that does not overflow makes every instance take the fleet for one that a single owner can serve. Each such key is also dialled again and again, and counts when an instance weighs whether it hears a majority.

Cause: Members took whatever was a JSON object of the right types.

Change: a key needs a host with a port from 1 to 65535, a data centre, an incarnation, a strength within bounds and at most 8 KiB. The host may be a name, since the settings of the instance itself may have one. What is invalid is logged once.

--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -45,11 +45,12 @@
 func (p *Process) runMembership(ctx context.Context) error {
 	var lease LeaseID
 	var cache memberCache
+	ignored := ignoredEntries{log: p.log.WithField("list", "members")}
 	dep := dependency{log: p.log.WithField("dependency", "members in the store")}
 	own := Member{Process: p.self, DataCentre: p.settings.DataCentre, Address: p.settings.PeerAddress, Strength: p.settings.Leader.Strength}
 	for round := 0; ctx.Err() == nil; round++ {
 		call, cancel := context.WithTimeout(ctx, p.settings.StoreTimeout)
-		err := p.renewMembership(call, own, &lease, &cache)
+		err := p.renewMembership(call, own, &lease, &cache, &ignored)
 		cancel()
 		dep.report(err)
 		interval := p.settings.MemberInterval
@@ -83,7 +84,7 @@
 // renewMembership renews the lease of this instance's key and reads the
 // members. It requests a new lease when the old one has expired, and writes the
 // key again when the lease is new or the key is missing.
-func (p *Process) renewMembership(ctx context.Context, own Member, lease *LeaseID, cache *memberCache) error {
+func (p *Process) renewMembership(ctx context.Context, own Member, lease *LeaseID, cache *memberCache, ignored *ignoredEntries) error {
 	newLease := false
 	if *lease != 0 {
 		alive, err := p.ports.Store.RenewLease(ctx, *lease)
@@ -109,6 +110,9 @@
 	if err != nil {
 		return err
 	}
+	for _, row := range update.Rows {
+		ignored.report(string(row.Instance), row.Invalid)
+	}
 	list := cache.apply(update)
 	registered := slices.ContainsFunc(list, func(m Member) bool { return m.Process == own.Process })
 	if newLease || !registered {
--- a/internal/process/dispatch/store_cache.go
+++ b/internal/process/dispatch/store_cache.go
@@ -31,7 +31,9 @@
 type MemberRow struct {
 	Instance ident.InstanceID
 	Member   Member
-	Removed  bool
+	// Removed is also set if the key is invalid, and Invalid then says why.
+	Removed bool
+	Invalid error
 }
 
 // MemberUpdate is what a read of the instances' keys returned, like
