Leave endpoints that were never reached out of the forecast

In a test, an endpoint that nobody can reach was listed with 10,000 cores. At four times what the others can run, callers were refused after 1.41 s of their 1.5 s instead of within 50 ms, since the owner counted that room.

Cause: the forecast of waits adds up the room of all listed endpoints. Those that do not answer for a moment count, since work that waits for them may still be served; the same held for one that has never answered.

Change: an endpoint that has answered no poll since the owner became active, or since it restarted, counts no more after four failures. It counts again with its first answer. Starts and takeovers are unchanged.

--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -113,6 +113,18 @@
 		(e.missingSince.IsZero() || now.Sub(e.missingSince) < missingGrace)
 }
 
+// neverReached reports whether the endpoint has answered no poll since this
+// owner became active, or since it restarted, and several have failed.
+func (e *endpoint) neverReached() bool {
+	return e.polledAt.IsZero() && e.pollFailures >= unreachedFailures
+}
+
+// unreachedFailures is the number of failed polls from which on an endpoint that
+// has not answered any counts as never reached. The delays between them add
+// up to 150 ms, and each may take its whole timeout besides, so that a new owner
+// does not give up endpoints that are slow to answer its first polls.
+const unreachedFailures = 4
+
 // probationBusy reports whether the endpoint already has the single run that it
 // may have after a cooldown.
 func (e *endpoint) probationBusy() bool { return e.health.probation && len(e.runs) > 0 }
--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -105,12 +105,16 @@
 	h.collect(h.pool.Tick(h.now))
 }
 
-// answerPolls carries out the collected polls.
+// answerPolls carries out the collected polls. Those of listed endpoints that do
+// not exist fail.
 func (h *harness) answerPolls() {
 	polls := h.polls
 	h.polls = nil
 	for _, poll := range polls {
-		result := h.endpoints[poll.Endpoint].Poll(h.now, poll)
+		result := owner.PollResult{Call: poll.Number, Reply: owner.NotSent}
+		if e := h.endpoints[poll.Endpoint]; e != nil {
+			result = e.Poll(h.now, poll)
+		}
 		result.SentAt = h.now
 		h.collect(h.pool.HandlePollResult(h.now, &result))
 	}
--- a/internal/decide/owner/shed_test.go
+++ b/internal/decide/owner/shed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -114,6 +115,24 @@
 	}
 }
 
+// TestUnreachedRoomHidesNoFlood guards against a flood in which work waits until
+// its deadline passes, since an endpoint that nobody can reach is listed with a
+// large room.
+func TestUnreachedRoomHidesNoFlood(t *testing.T) {
+	const endpoints, capacity = 4, 4 * 3 * 10 // as in TestFloodIsRefusedEarly
+	f := &flooded{harness: newHarness(t, endpoints), placedAt: map[job.ID]time.Time{}}
+	unreached := owner.Endpoint{ID: "odd", Service: "render", Room: job.Room{CPU: 10_000_000, Memory: 1_000_000}}
+	f.collect(f.pool.SetEndpoints(f.now, f.now, append(f.entries, unreached)))
+	f.flood(2*time.Second, time.Second/(4*capacity))
+	f.done, f.inTime, f.refusedAfter, f.overdue = 0, 0, nil, 0
+	f.flood(4*time.Second, time.Second/(4*capacity))
+	slices.Sort(f.refusedAfter)
+	t.Logf("%d done, %d in time, %d refused after %v", f.done, f.inTime, len(f.refusedAfter), f.refusedAfter[len(f.refusedAfter)/2])
+	f.is.Equal(f.overdue, 0)
+	f.is.True(f.done >= 4*capacity*85/100)
+	f.is.True(f.refusedAfter[len(f.refusedAfter)/2] <= 50*time.Millisecond) // docs/platform.md, "bursts"
+}
+
 // TestTakeoverIsNoFlood guards against late work that is refused while
 // endpoints are free, since the tasks that homes place again at a new owner
 // count as arriving load, although they run already or soon end.
