Read the valid rows of a list of instances with an odd one

What callers saw: nothing here; found by a look for the same class of fault in the product's own interface. With one invalid row in the platform's list, serve no longer followed the list at all and logged nothing, and an instance that had just started got no list from the store.

Cause: DecodeInstances rejects the whole list for one invalid row, since a list without that row would look as if the instance had left.

Change: the client leaves an invalid row out, unless it knows a valid one of the same id, which then stays. Slots and connections are bounded. Stats.InvalidRow, which the status of an instance shows, names the first invalid row. DecodeInstances itself stays strict.

What remains: a row that is nested beyond 10,000 levels makes the whole list unreadable for Go's decoder.

--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -160,7 +160,8 @@
 
 // Instances returns the platform's list of instances, which may be out of date.
 // The request is conditional, so that an unchanged list is not sent again: 850
-// rows, read once a second, would take 162 KB/s.
+// rows, read once a second, would take 162 KB/s. Invalid rows are left out; see
+// Stats.InvalidRow.
 func (c *Client) Instances(ctx context.Context) ([]work.Instance, error) {
 	c.mu.Lock()
 	cached, etag := c.list, c.listETag
@@ -179,12 +180,15 @@
 	case r.status != http.StatusOK:
 		return nil, unexpectedStatus(r)
 	}
-	list, decodeErr := DecodeInstances(r.body)
+	list, invalid, decodeErr := decodeValidRows(r.body, cached)
 	if decodeErr != nil {
 		return nil, decodeErr
 	}
 	c.mu.Lock()
-	c.list, c.listETag = list, r.etag
+	c.list, c.listETag, c.stats.InvalidRow = list, r.etag, ""
+	if invalid != nil {
+		c.stats.InvalidRow = invalid.Error()
+	}
 	c.mu.Unlock()
 	return list, nil
 }
--- a/internal/adapter/platform/client_test.go
+++ b/internal/adapter/platform/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -304,6 +305,54 @@
 	is.Equal(fault.From(err).Field, "instances[0].state")
 }
 
+// TestOddRowHidesNoInstances guards against a row of another writer that keeps
+// the whole list from being read, or that is used, and against an instance that
+// seems to have left because its row has become invalid.
+func TestOddRowHidesNoInstances(t *testing.T) {
+	const first, second = `{"id":"e-1","kind":"endpoint","incarnation":"1","state":"live","slots":8}`, `{"id":"e-2","kind":"endpoint","incarnation":"2","state":"live","slots":8}`
+	nested := strings.Repeat("[", 5000) + strings.Repeat("]", 5000)
+	tests := map[string]struct{ old, with string }{
+		"number too large":   {`8`, `99999999999999999999`},
+		"slots out of range": {`8`, `9223372036854775807`},
+		"negative slots":     {`8`, `-1`},
+		"fraction":           {`8`, `1e400`},
+		"nested":             {`8`, nested},
+		"other type":         {`"2"`, `2`},
+		"incarnation":        {`"2"`, `"x"`},
+		"kind":               {`"endpoint"`, `"x"`},
+		"state":              {`"live"`, `"gone"`},
+		"no id":              {`"e-2"`, `""`},
+		"no object":          {second, `7`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			odd := strings.Replace(second, tt.old, tt.with, 1)
+			body := "[" + odd + "," + first + "]"
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+			defer server.Close()
+			c := newClient(t, server.Listener.Addr().String(), nil)
+			got, err := c.Instances(t.Context())
+			is.NoErr(err)
+			is.Equal(len(got), 1)
+			is.Equal(got[0].ID, "e-1")
+			is.True(c.Stats().InvalidRow != "")
+			body = "[" + first + "," + second + "]"
+			got, err = c.Instances(t.Context())
+			is.NoErr(err)
+			is.Equal(len(got), 2)
+			is.Equal(c.Stats().InvalidRow, "")
+			body = "[" + first + "," + odd + "]"
+			got, err = c.Instances(t.Context())
+			is.NoErr(err)
+			if name != "no id" && name != "no object" { // else nothing says whose row it is
+				is.Equal(len(got), 2)
+				is.Equal(got[1].Slots, 8)
+			}
+		})
+	}
+}
+
 // TestInstancesUnchanged guards against an unchanged list that is sent again
 // with every read, and against a changed list that is not sent.
 func TestInstancesUnchanged(t *testing.T) {
--- a/internal/adapter/platform/instances.go
+++ b/internal/adapter/platform/instances.go
@@ -52,8 +52,7 @@
 }
 
 // DecodeInstances reads the platform's JSON form of the list. The error has
-// kind fault.BadField. One invalid row makes the whole list invalid: a list
-// without that row would look as if the instance had left.
+// kind fault.BadField. One invalid row makes the whole list invalid.
 func DecodeInstances(data []byte) ([]work.Instance, error) {
 	var rows []instanceRow
 	if err := json.Unmarshal(data, &rows); err != nil {
@@ -61,27 +60,75 @@
 	}
 	list := make([]work.Instance, 0, len(rows))
 	for i, row := range rows {
-		incarnation, err := strconv.ParseUint(row.Incarnation, 16, 64)
+		instance, err := row.decode(i)
 		if err != nil {
-			return nil, badRow(i, "incarnation")
+			return nil, err
 		}
-		switch {
-		case row.ID == "":
-			return nil, badRow(i, "id")
-		case row.Kind != work.KindEntry && row.Kind != work.KindEndpoint:
-			return nil, badRow(i, "kind")
-		case row.State != stateLive && row.State != stateLeaving:
-			return nil, badRow(i, "state")
-		}
-		list = append(list, work.Instance{
-			ID: row.ID, Kind: row.Kind, DataCentre: row.DataCentre, Address: row.Address,
-			Incarnation: ident.Incarnation(incarnation), Leaving: row.State == stateLeaving,
-			Service: row.Service, Slots: row.Slots, Connections: row.Connections,
-		})
+		list = append(list, instance)
 	}
 	return list, nil
 }
 
+// decodeValidRows reads the list like DecodeInstances, but leaves invalid rows
+// out, and returns the error of the first one as invalid. An instance whose row
+// has become invalid keeps its row of the list before: without a row it would
+// look as if it had left. The error err means that the whole is no list.
+func decodeValidRows(data []byte, before []work.Instance) (list []work.Instance, invalid, err error) {
+	if list, invalid = DecodeInstances(data); invalid == nil {
+		return list, nil, nil
+	}
+	var rows []json.RawMessage
+	if err := json.Unmarshal(data, &rows); err != nil {
+		return nil, nil, fault.Wrap(err, fault.BadField, fault.RanNo).WithField("instances")
+	}
+	known := make(map[string]work.Instance, len(before))
+	for _, instance := range before {
+		known[instance.ID] = instance
+	}
+	list = make([]work.Instance, 0, len(rows))
+	for i, data := range rows {
+		var row instanceRow
+		// If a field has another type, the others are decoded nevertheless.
+		faulty := json.Unmarshal(data, &row) != nil
+		instance, err := row.decode(i)
+		if faulty || err != nil {
+			if instance = known[row.ID]; instance.ID == "" {
+				continue
+			}
+		}
+		list = append(list, instance)
+	}
+	return list, invalid, nil
+}
+
+// maxSlots bounds the slots and the connections of an endpoint. It is far above
+// what a machine has, and keeps sums over all endpoints within range.
+const maxSlots = 1_000_000
+
+// decode validates the row with an index in the list.
+func (row *instanceRow) decode(i int) (work.Instance, error) {
+	incarnation, err := strconv.ParseUint(row.Incarnation, 16, 64)
+	switch {
+	case err != nil:
+		return work.Instance{}, badRow(i, "incarnation")
+	case row.ID == "":
+		return work.Instance{}, badRow(i, "id")
+	case row.Kind != work.KindEntry && row.Kind != work.KindEndpoint:
+		return work.Instance{}, badRow(i, "kind")
+	case row.State != stateLive && row.State != stateLeaving:
+		return work.Instance{}, badRow(i, "state")
+	case row.Slots < 0 || row.Slots > maxSlots:
+		return work.Instance{}, badRow(i, "slots")
+	case row.Connections < 0 || row.Connections > maxSlots:
+		return work.Instance{}, badRow(i, "connections")
+	}
+	return work.Instance{
+		ID: row.ID, Kind: row.Kind, DataCentre: row.DataCentre, Address: row.Address,
+		Incarnation: ident.Incarnation(incarnation), Leaving: row.State == stateLeaving,
+		Service: row.Service, Slots: row.Slots, Connections: row.Connections,
+	}, nil
+}
+
 func badRow(i int, field string) error {
 	return fault.New(fault.BadField, fault.RanNo).WithField("instances[" + strconv.Itoa(i) + "]." + field)
 }
--- a/internal/adapter/platform/stats.go
+++ b/internal/adapter/platform/stats.go
@@ -25,6 +25,9 @@
 	// Blocked counts the calls not made because the breaker was open.
 	Blocked uint64
 	Breaker Breaker
+	// InvalidRow says what is wrong with the first invalid row of the latest
+	// list of instances, or is empty.
+	InvalidRow string
 }
 
 // Stats returns a copy of the counters.
