Take ends without a number as ends of the latest placement

Cause: an instance of the version before does not repeat the number of the order. While a fleet is updated, its failures were not retried and its rejections not placed again, so that such jobs waited for their deadline.

Change: an end without a number that comes from the process of the latest placement counts for that placement, which stays open, so that the job can be overdue and not refused.

Evidence: TestEndsWithoutPlacement failed before in both cases.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -134,11 +134,13 @@
 	// later steps. Deadline is the time left until the caller gives up.
 	Target   time.Duration
 	Deadline time.Duration
-	// Placement numbers the orders of a home. The ends of the tasks repeat it.
+	// Placement numbers the orders of a home from 1. The ends of the tasks
+	// repeat it.
 	Placement uint64
-	// MayHaveStarted is set if another owner may already have started the
-	// tasks. PlacedWhole is set if that owner may have owned the endpoints of
-	// the whole fleet, and not only those of the home's data centre.
+	// MayHaveStarted is set if another order for one of the tasks is open, so
+	// that another owner may already have started it. PlacedWhole is set if
+	// that owner may have owned the endpoints of the whole fleet, and not only
+	// those of the home's data centre.
 	MayHaveStarted bool
 	PlacedWhole    bool
 }
--- a/internal/decide/home/completion.go
+++ b/internal/decide/home/completion.go
@@ -31,11 +31,10 @@
 
 // recordEnd records one end of a task and reports whether the state of the job
 // may have changed. It ignores keys that are out of range or have an occurrence
-// other than 0, and tasks that are done. Ends that are neither Done nor Failed
-// count only if they belong to the latest placement of the task: an earlier
-// owner may report them after the task has gone to another one. If the owner has
-// rejected the task with job.NotOwner, the open tasks of the job are placed
-// again after placeRetryDelay.
+// other than 0, and tasks that are done. Only an end of the latest placement of a
+// task aborts the job, or leads to a retry: an earlier owner may report its end
+// after the task has gone to another one. If the owner has rejected the task with
+// job.NotOwner, the open tasks of the job are placed again after placeRetryDelay.
 func (t *Table) recordEnd(now time.Time, j *openJob, from ident.Process, end *job.TaskEnd) bool {
 	k := end.Key
 	if k.Step >= len(j.steps) || k.Index >= len(j.steps[k.Step].tasks) || k.Occurrence != 0 {
--- a/internal/decide/home/placement.go
+++ b/internal/decide/home/placement.go
@@ -23,8 +23,13 @@
 
 // closePlacement closes the placement that an end belongs to, and reports
 // whether it was the latest one of the task. An end for an earlier placement, or
-// for an earlier submission of the job, shows nothing about the latest one.
+// for an earlier submission of the job, shows nothing about the latest one. An
+// instance of an earlier version sends no number: its end is taken for one of the
+// latest placement, which stays open.
 func (s *taskState) closePlacement(from ident.Process, end *job.TaskEnd) (latest bool) {
+	if n := len(s.placements); end.Placement == 0 && n > 0 {
+		return s.placements[n-1] == placement{number: s.lastPlacement, to: from}
+	}
 	i := slices.Index(s.placements, placement{number: end.Placement, to: from})
 	if i < 0 {
 		return false
--- a/internal/decide/home/placement_test.go
+++ b/internal/decide/home/placement_test.go
@@ -140,3 +140,21 @@
 	is.Equal(len(list), 1)
 	is.Equal(list[0].Result, home.Refused)
 }
+
+// TestEndsWithoutPlacement guards against jobs that wait for their deadline
+// because the owner, an instance of an earlier version, does not repeat the
+// number of the order.
+func TestEndsWithoutPlacement(t *testing.T) {
+	for name, outcome := range map[string]job.Outcome{"failed": job.Failed, "does not own": job.NotOwner} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable()
+			first := ordersOf(table.Submit(baseTime, 1, spec(step(1)), settings, time.Second))
+			ends := endsOf(first[0], outcome)
+			ends[0].Placement = 0
+			again := ordersOf(table.HandleEnds(baseTime, owner1, ends))
+			again = append(again, ordersOf(table.Tick(baseTime.Add(100*time.Millisecond)))...)
+			is.Equal(len(again), 1)
+		})
+	}
+}
