Count runs and ends of other submissions for every home's task

Cause: a run that a poll shows marked only the task of the first home that has the job, and the end of a run that this owner does not know marked no task unless another owner may have started it. A task could then end as refused although the owner knew that it has run.

Change: noteRun marks the tasks of all homes, for runs and for ends of any kind.

--- a/internal/decide/owner/inherit.go
+++ b/internal/decide/owner/inherit.go
@@ -22,12 +22,15 @@
 // recordInherited handles the end of a run that this owner does not know. It
 // finishes the task of the run, or keeps the end until the task is placed.
 func (p *Pool) recordInherited(now time.Time, e *endpoint, end EndedRun) {
+	tasks := p.tasksOf(end.Key)
+	for _, t := range tasks {
+		t.noteRun()
+	}
 	if end.Reason != EndDone {
 		return
 	}
-	for _, b := range p.batchesByJob[end.Key.Job] {
-		t := b.tasks[end.Key.Index]
-		if b.step == end.Key.Step && end.Key.Occurrence == 0 && t != nil && t.run == nil && !t.foreignStartUntil.IsZero() {
+	for _, t := range tasks {
+		if t.run == nil && !t.foreignStartUntil.IsZero() {
 			p.finishInherited(now, t, inheritedEnd{run: end.Run, endpoint: e.ID, receivedAt: now})
 			return
 		}
@@ -39,6 +42,9 @@
 // reports whether there was such an end.
 func (p *Pool) finishIfInherited(now time.Time, t *task) bool {
 	inherited, ok := p.inheritedEnds[t.key]
+	if ok {
+		t.noteRun()
+	}
 	if !ok || t.foreignStartUntil.IsZero() {
 		return false
 	}
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -96,7 +96,7 @@
 	}
 	b.tasks[index] = t
 	for _, r := range slices.Clone(p.runsByTask[t.key]) {
-		t.mayHaveRun = true
+		t.noteRun()
 		t.nextRun = max(t.nextRun, r.id.run+1)
 		if t.run == nil && !r.claimed && r.phase == running {
 			p.adopt(now, t, r)
@@ -136,7 +136,7 @@
 	r.claimed, r.room, r.task, t.run = true, t.batch.needs.Room, t, r
 	p.addRunEvent(now, Adopted, r)
 	r.knownSince = now
-	t.mayHaveRun = true
+	t.noteRun()
 	e.unclaimed--
 	e.usedRoom = e.usedRoom.Add(r.room)
 	p.stats.Adopted++
--- a/internal/decide/owner/poll.go
+++ b/internal/decide/owner/poll.go
@@ -168,19 +168,13 @@
 		e.claimDeadline = now.Add(p.cfg.ClaimGrace + claimMargin)
 	}
 	p.runsByTask[id.key] = append(p.runsByTask[id.key], r)
-	for _, b := range p.batchesByJob[id.key.Job] {
-		t := b.tasks[id.key.Index]
-		if b.step != id.key.Step || t == nil || id.key.Occurrence != 0 {
-			continue
-		}
-		t.nextRun, t.mayHaveRun = max(t.nextRun, id.run+1), true
-		if t.run == nil {
+	for _, t := range p.tasksOf(id.key) {
+		t.nextRun = max(t.nextRun, id.run+1)
+		t.noteRun()
+		if t.run == nil && !r.claimed {
 			p.waiting.remove(t)
 			p.adopt(now, t, r)
-		} else {
-			t.run.firstToRun = false
 		}
-		return
 	}
 }
 
--- a/internal/decide/owner/refusal_test.go
+++ b/internal/decide/owner/refusal_test.go
@@ -136,3 +136,39 @@
 	h.is.Equal(len(h.ends), 1)
 	h.is.Equal(h.ends[0].Outcome, job.Overdue)
 }
+
+// TestEndedRunOfEarlierSubmissionNotRefused guards against a task that ends as
+// refused although a poll has shown that a run of it is done, from a submission
+// that this owner did not get.
+func TestEndedRunOfEarlierSubmissionNotRefused(t *testing.T) {
+	h := newHarness(t, 1)
+	h.place(home1, order("j", 1, 10_000))
+	h.answerStarts()
+	h.advance(150 * time.Millisecond) // done, and not polled yet
+	h.polls = nil
+	h.collect(h.pool.Activate(h.now, owner.NewFence(6, 2), func(owner.Endpoint) bool { return true }))
+	h.answerPolls()
+	h.place(home2, order("j", 1, 10_000))
+	h.refuseStarts(owner.Unhealthy)
+	h.is.Equal(len(h.ends), 1)
+	h.is.Equal(h.ends[0].Outcome, job.Overdue)
+}
+
+// TestRunFoundForAllHomesNotRefused guards against a task that ends as refused
+// although a poll has shown a run of it, because another home has the same job.
+func TestRunFoundForAllHomesNotRefused(t *testing.T) {
+	h := newHarness(t, 1)
+	h.place(home1, order("j", 1, 10_000))
+	h.answerStarts()
+	h.advance(10 * time.Millisecond)
+	h.polls = nil
+	h.collect(h.pool.Activate(h.now, owner.NewFence(6, 2), func(owner.Endpoint) bool { return true }))
+	h.place(home1, order("j", 1, 10_000))
+	h.place(home2, order("j", 1, 10_000))
+	h.answerPolls() // finds the run
+	h.collect(h.pool.Withdraw(home1, "j"))
+	h.answerStops()
+	h.refuseStarts(owner.Unhealthy)
+	h.is.Equal(len(h.ends), 1)
+	h.is.Equal(h.ends[0].Outcome, job.Overdue)
+}
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -85,6 +85,26 @@
 	refusals int
 }
 
+// noteRun records that a run of the task is known that its own starts do not
+// explain. A refusal of the start that is on the way does not change that.
+func (t *task) noteRun() {
+	t.mayHaveRun = true
+	if t.run != nil {
+		t.run.firstToRun = false
+	}
+}
+
+// tasksOf returns the tasks with a key, one for each home that has placed it.
+func (p *Pool) tasksOf(key job.Key) []*task {
+	var list []*task
+	for _, b := range p.batchesByJob[key.Job] {
+		if t := b.tasks[key.Index]; t != nil && t.key == key {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // phase is the state of a run.
 type phase int
 
