Do not say that a job under an unconfirmed key has not run

Cause: while the store cannot confirm a caller's key, the answer was claim-unconfirmed with ran "no". That is true of this call, and not of an earlier one under the same key whose answer was lost: a statement about one attempt stood for all of them.

Change: the answer says ran "unknown".

--- a/internal/process/entry/claims.go
+++ b/internal/process/entry/claims.go
@@ -47,12 +47,12 @@
 
 // resolve returns the submission id that a caller's idempotency key is bound
 // to, and binds the key to a new id if it is not bound yet. Errors have the
-// kind fault.ClaimUnconfirmed and fault.RanNo: nothing starts before the store
-// has confirmed the claim.
+// kind fault.ClaimUnconfirmed and fault.RanUnknown: this call starts nothing, but
+// an earlier one under the key may have, which only the store can tell.
 func (c *claims) resolve(ctx context.Context, team ident.Team, key string) (ident.SubmissionID, error) {
 	r, err := c.process.ask(ctx, func(ref instance.RequestRef) instance.Event { return instance.IssueIDs{Ref: ref, Count: 1} })
 	if err != nil {
-		return ident.SubmissionID{}, fault.Wrap(err, fault.ClaimUnconfirmed, fault.RanNo)
+		return ident.SubmissionID{}, fault.Wrap(err, fault.ClaimUnconfirmed, fault.RanUnknown)
 	}
 	result := make(chan claimResult, 1)
 	select {
@@ -73,7 +73,7 @@
 // unconfirmedError returns the error for a claim that the store has not
 // confirmed.
 func unconfirmedError(cause error) *fault.Error {
-	f := fault.New(fault.ClaimUnconfirmed, fault.RanNo).WithRetryAfter(time.Second)
+	f := fault.New(fault.ClaimUnconfirmed, fault.RanUnknown).WithRetryAfter(time.Second)
 	f.Cause = cause
 	return f
 }
