Leave unreachable endpoints out of the capacity

Callers saw jobs that waited past their target and were refused then.

An endpoint that failed four polls in a row no longer counts. Retries of refused connections get there in 0.2 s. A lost answer or a short cut does not.

TestCrashedEndpointsAreNoCapacity failed before: refusals came after up to 1.11 s of waiting, now after 45 ms at most.

--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -113,6 +113,14 @@
 		(e.missingSince.IsZero() || now.Sub(e.missingSince) < missingGrace)
 }
 
+// unreachableFailures is the number of failed polls in a row from which on an
+// endpoint counts as unreachable. Retries of refused connections reach it within
+// about 0.2 s, so that a lost answer or a short cut does not.
+const unreachableFailures = 4
+
+// unreachable reports whether the endpoint has failed to answer for some time.
+func (e *endpoint) unreachable() bool { return e.pollFailures >= unreachableFailures }
+
 // probationBusy reports whether the endpoint already has the single run that it
 // may have after a cooldown.
 func (e *endpoint) probationBusy() bool { return e.health.probation && len(e.runs) > 0 }
--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -28,6 +28,8 @@
 	now       time.Time
 	endpoints map[ident.EndpointID]*leased.Endpoint
 	entries   []owner.Endpoint
+	// down holds the endpoints that answer no poll.
+	down      map[ident.EndpointID]bool
 	polls     []owner.Poll
 	starts    []owner.Start
 	stops     []owner.Stop
@@ -46,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &harness{t: t, is: is.New(t), pool: pool, now: startTime, endpoints: map[ident.EndpointID]*leased.Endpoint{}}
+	h := &harness{t: t, is: is.New(t), pool: pool, now: startTime, endpoints: map[ident.EndpointID]*leased.Endpoint{}, down: map[ident.EndpointID]bool{}}
 	for i := range endpoints {
 		entry := owner.Endpoint{
 			ID: ident.EndpointID(fmt.Sprint("e-", i)), Service: "render", Room: job.Room{CPU: 32_000, Memory: 1000},
@@ -110,7 +112,10 @@
 	polls := h.polls
 	h.polls = nil
 	for _, poll := range polls {
-		result := h.endpoints[poll.Endpoint].Poll(h.now, poll)
+		result := owner.PollResult{Call: poll.Number, Reply: owner.NotSent}
+		if !h.down[poll.Endpoint] {
+			result = h.endpoints[poll.Endpoint].Poll(h.now, poll)
+		}
 		result.SentAt = h.now
 		h.collect(h.pool.HandlePollResult(h.now, &result))
 	}
--- a/internal/decide/owner/shed.go
+++ b/internal/decide/owner/shed.go
@@ -88,13 +88,14 @@
 
 // updateCapacities adds up the room of the owned endpoints of each load.
 // Endpoints that do not answer for a moment count, since work that waits for
-// them may still be served.
+// them may still be served. Unreachable ones do not, as a crashed endpoint stays
+// listed for seconds: work would be kept waiting for room that does not exist.
 func (p *Pool) updateCapacities() {
 	for _, l := range p.loads {
 		l.capacity = admission.Capacity{}
 	}
 	for _, e := range p.sortedEndpoints {
-		if e.Draining || p.evacuated[e.DataCentre] || !e.missingSince.IsZero() || e.ownership == ownershipForeign || !p.owns(e.Endpoint) {
+		if e.Draining || p.evacuated[e.DataCentre] || !e.missingSince.IsZero() || e.ownership == ownershipForeign || e.unreachable() || !p.owns(e.Endpoint) {
 			continue
 		}
 		ratio := e.slowdown.blendedRatio(p.slowdownOfGroup(e))
--- a/internal/decide/owner/shed_test.go
+++ b/internal/decide/owner/shed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -139,6 +140,23 @@
 	f.is.Equal(len(f.refusedAfter)+f.overdue, 0)
 }
 
+// TestCrashedEndpointsAreNoCapacity guards against work that waits past its
+// target for the room of endpoints that crashed and are still listed, and is
+// refused then: with half of its endpoints gone, an owner refuses half of its
+// full load early.
+func TestCrashedEndpointsAreNoCapacity(t *testing.T) {
+	const endpoints, capacity = 4, 4 * 3 * 10 // as in TestFloodIsRefusedEarly
+	f := &flooded{harness: newHarness(t, endpoints), placedAt: map[job.ID]time.Time{}}
+	f.flood(2*time.Second, time.Second/capacity)
+	f.down["e-2"], f.down["e-3"] = true, true
+	f.flood(2*time.Second, time.Second/capacity)
+	f.done, f.inTime, f.refusedAfter, f.overdue = 0, 0, nil, 0
+	f.flood(2*time.Second, time.Second/capacity)
+	t.Logf("%d done, %d in time, %d refused after %v at most, %d overdue", f.done, f.inTime, len(f.refusedAfter), slices.Max(f.refusedAfter), f.overdue)
+	f.is.Equal(f.overdue, 0)
+	f.is.True(slices.Max(f.refusedAfter) < 300*time.Millisecond) // before the target passes
+}
+
 // TestImpossibleTaskHoldsNothingUp guards against a job that no endpoint can run
 // and that makes all others look hopeless: its work is more than any capacity.
 func TestImpossibleTaskHoldsNothingUp(t *testing.T) {
