Keep a batch while its tasks are placed

A task could start after its home had withdrawn its job. When a new owner gets an order whose first task was already done under the earlier owner, that task ends while the order is added. Its batch was empty at that moment and was removed from the pool's maps; the other tasks of the order joined it anyway. No withdrawal found them, neither that of the job nor that of a lost home, and a job submitted again through another home did not replace them.

The batch now stays until all tasks of the order are added.

TestWithdrawAfterInheritedEnd failed before: a task of the withdrawn job started.

--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -59,6 +59,7 @@
 	if !o.MayHaveStarted {
 		b.countArrival(now, len(o.Indexes))
 	}
+	b.placing = true
 	for i, index := range o.Indexes {
 		t := b.tasks[index]
 		if t == nil {
@@ -70,6 +71,8 @@
 			t.otherGroup = t.otherGroup || p.outsideGroup(b.home, o)
 		}
 	}
+	b.placing = false
+	p.dropEmpty(b)
 	return b
 }
 
@@ -240,10 +243,14 @@
 func (p *Pool) dropTask(t *task) {
 	p.waiting.remove(t)
 	delete(t.batch.tasks, t.key.Index)
-	if len(t.batch.tasks) > 0 {
+	p.dropEmpty(t.batch)
+}
+
+// dropEmpty removes a batch without tasks.
+func (p *Pool) dropEmpty(b *batch) {
+	if len(b.tasks) > 0 || b.placing {
 		return
 	}
-	b := t.batch
 	delete(p.batches, batchID{home: b.home, job: b.job, step: b.step})
 	remaining := slices.DeleteFunc(p.batchesByJob[b.job], func(o *batch) bool { return o == b })
 	if len(remaining) == 0 {
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -249,6 +249,31 @@
 	}
 }
 
+// TestWithdrawAfterInheritedEnd guards against a task that runs although its
+// home has withdrawn its job: the first task of the order was already done under
+// the earlier owner, and the rest was kept where no withdrawal finds it.
+func TestWithdrawAfterInheritedEnd(t *testing.T) {
+	h := newHarness(t, 1)
+	h.place(home1, order("j", 1, 10_000))
+	h.answerStarts()
+	h.advance(200 * time.Millisecond) // the run ends, and nothing reports it
+	h.polls = nil
+	h.collect(h.pool.Activate(h.now, owner.NewFence(6, 2), func(owner.Endpoint) bool { return true }))
+	h.answerPolls()
+	h.ends = nil
+	placedAgain := order("j", 2, 10_000)
+	placedAgain.MayHaveStarted, placedAgain.Deadline = true, time.Minute
+	h.place(home1, placedAgain)
+	h.is.Equal(len(h.ends), 1) // the first task was done
+	h.collect(h.pool.Withdraw(home1, "j"))
+	h.is.Equal(h.pool.Stats(h.now).Waiting, 0)
+	for range 10 {
+		h.advance(200 * time.Millisecond)
+		h.answerPolls()
+	}
+	h.is.Equal(len(h.starts), 0)
+}
+
 // TestReselectedEndpointPolledBeforeStart guards against starts on an endpoint
 // that was not selected for a while, before this owner has polled it again.
 func TestReselectedEndpointPolledBeforeStart(t *testing.T) {
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -24,6 +24,9 @@
 	target   time.Time
 	deadline time.Time
 	tasks    map[int]*task
+	// placing is set while the tasks of an order are added, some of which may
+	// end at once. The batch is kept for the others.
+	placing bool
 	// touched is set once a task of the batch has been started or adopted, or
 	// another owner may have started one.
 	touched bool
