Run tasks alone after a crash, and give up those that crash endpoints

A task may crash each endpoint that starts it.

The owner counts the outages of endpoints under each task: when connections were refused four polls in a row, when the endpoint restarted, or when its lease ran out in silence. A task with a crash is a suspect. Suspects run alone, on one endpoint at a time, and on one more for 64 endpoints, so that the next crash costs no other task and shows its cause. A task is given up after its second crash if it ran alone then, and after the third outage in any case; its job is answered as failed at once. Outages of many endpoints at the same moment (a rack, a cut) make no suspects and count only towards the third. The owner sends the counts to all peers of its group, so that they survive a change of the owner and a submission through another home.

Weighed: the count with the home, in orders and ends, is lost when the caller asks another home.

Left: a crash that an owner did not live to report is not counted, and other groups do not know the counts.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -158,6 +158,9 @@
 	// NotOwner: the process that received the order does not own the endpoints.
 	// Logs show it as "unowned".
 	NotOwner
+	// Crashed: the owner gave up on the task, since endpoints crash that start
+	// it. No owner that knows of it starts it again.
+	Crashed
 )
 
 // String returns the outcome for logs.
@@ -173,6 +176,8 @@
 		return "overdue"
 	case NotOwner:
 		return "unowned"
+	case Crashed:
+		return "crashed"
 	}
 	return "unknown"
 }
--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -62,7 +62,7 @@
 type Action any
 
 // Send sends a message to a process: a Heartbeat, Orders, Withdrawal, TaskEnds,
-// listing.Snapshot or listing.Changes.
+// CrashReport, listing.Snapshot or listing.Changes.
 type Send struct {
 	To ident.Process
 	// Urgent messages are sent before the others.
@@ -321,6 +321,7 @@
 		c.view.HandleLinkUp(now, process, dc)
 		c.reclaimAt = now.Add(reclaimDelay)
 		c.list.HandleLinkUp(process)
+		c.reportCrashes(c.pool.CrashRecords(), process)
 	} else if c.groups.closeAt.IsZero() {
 		c.groups.closeAt = now.Add(outsideLinkTime)
 	}
@@ -362,6 +363,8 @@
 		c.applyPoolActions(now, c.pool.Place(now, from, m))
 	case Withdrawal:
 		c.applyPoolActions(now, c.pool.Withdraw(from, job.ID(m)))
+	case CrashReport:
+		c.pool.ObserveCrashes(now, m)
 	case TaskEnds:
 		c.applyJobActions(now, c.jobs.HandleEnds(now, from, m))
 	case listing.Snapshot:
@@ -471,14 +474,17 @@
 // instance itself to its table of jobs, and adds the other actions to pending.
 func (c *Core) applyPoolActions(now time.Time, actions []owner.Action) {
 	for _, a := range actions {
-		report, ok := a.(owner.Report)
-		switch {
-		case !ok:
-			c.pending = append(c.pending, a)
-		case report.To == c.self:
-			c.applyJobActions(now, c.jobs.HandleEnds(now, c.self, report.Ends))
+		switch a := a.(type) {
+		case owner.ReportCrashes:
+			c.reportCrashes(a.Records, c.view.Peers()...)
+		case owner.Report:
+			if a.To == c.self {
+				c.applyJobActions(now, c.jobs.HandleEnds(now, c.self, a.Ends))
+				continue
+			}
+			c.pending = append(c.pending, Send{To: a.To, Message: TaskEnds(a.Ends)})
 		default:
-			c.pending = append(c.pending, Send{To: report.To, Message: TaskEnds(report.Ends)})
+			c.pending = append(c.pending, a)
 		}
 	}
 }
--- a/internal/decide/dispatcher/endpoint_test.go
+++ b/internal/decide/dispatcher/endpoint_test.go
@@ -31,6 +31,10 @@
 		f.deliver(n, p, func() { f.apply(n, n.core.HandleCallResult(f.clock(n), &a)) })
 	}
 	lost := func() { f.at(callTimeout, func() { reply(owner.CallResult{Call: number, Reply: owner.Unknown}) }) }
+	if s.down && s.refuses {
+		f.at(f.delay(), func() { reply(owner.CallResult{Call: number, Reply: owner.ConnectionRefused}) })
+		return
+	}
 	if !f.reaches(n, s) {
 		lost()
 		return
@@ -77,6 +81,10 @@
 		r.SentAt = sent
 		f.at(f.delay(), func() { f.deliver(n, p, func() { f.apply(n, n.core.HandlePollResult(f.clock(n), &r)) }) })
 	}
+	if s.down && s.refuses {
+		reply(owner.PollResult{Call: poll.Number, Reply: owner.ConnectionRefused})
+		return
+	}
 	f.at(poll.Wait+callTimeout, func() { reply(owner.PollResult{Call: poll.Number, Reply: owner.Unknown}) })
 	if !f.reaches(n, s) {
 		return
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -69,9 +69,12 @@
 
 // simEndpoint is a fake endpoint with its simulated faults.
 type simEndpoint struct {
-	index         int
-	fake          *leased.Endpoint
-	down          bool
+	index int
+	fake  *leased.Endpoint
+	down  bool
+	// refuses is set if it refuses connections while it is down, as a machine
+	// does whose process has crashed.
+	refuses       bool
 	lateShare     float64 // share of calls that are carried out late
 	lostShare     float64 // share of answers that are lost
 	drainingSince time.Time
@@ -124,6 +127,8 @@
 	cfg      dispatcher.Config
 	// strength is that of all instances.
 	strength group.Strength
+	// maxSubmissions is how often a caller submits a job at most.
+	maxSubmissions int
 	// divisions counts the instances that saw the fleet divided, once for each
 	// time.
 	divisions int
@@ -152,8 +157,8 @@
 // allows.
 func newFleet(t testing.TB, seed uint64, instances, endpoints int, strength group.Strength) *fleet {
 	f := &fleet{
-		strength: strength,
-		t:        t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
+		strength: strength, maxSubmissions: 4,
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
 		instanceCuts: map[[2]int]bool{}, endpointCuts: map[[2]int]bool{}, jobsByID: map[job.ID]*simJob{},
 		running: map[job.Key]map[int]*simEndpoint{},
 	}
--- a/internal/decide/dispatcher/jobs_test.go
+++ b/internal/decide/dispatcher/jobs_test.go
@@ -80,10 +80,10 @@
 }
 
 // resubmit submits a lost or refused job to a random instance after a delay, as
-// its caller does, with at most four submissions.
+// its caller does, with at most maxSubmissions submissions.
 func (f *fleet) resubmit(j *simJob, delay time.Duration) {
 	j.pending = false
-	if j.submissions >= 4 {
+	if j.submissions >= f.maxSubmissions {
 		return
 	}
 	f.at(delay, func() {
--- a/internal/decide/home/completion.go
+++ b/internal/decide/home/completion.go
@@ -75,6 +75,8 @@
 		j.refused[k] = true
 	case job.Overdue:
 		j.mayHaveRun = true
+	case job.Crashed:
+		j.mayHaveRun, j.crashed = true, true
 	}
 	return true
 }
@@ -94,6 +96,10 @@
 // closeOrAdvance closes the job if it is finished, has failed or must be
 // aborted, or else places the steps that are ready.
 func (t *Table) closeOrAdvance(now time.Time, j *openJob) {
+	if j.crashed {
+		t.close(now, j, Failed, "endpoints crash that start one of its tasks", 0)
+		return
+	}
 	remaining := 0
 	for i := range j.steps {
 		remaining += j.steps[i].remaining
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -39,7 +39,8 @@
 const (
 	// Finished: all tasks are done.
 	Finished Result = iota + 1
-	// Failed: a task failed on all its attempts.
+	// Failed: a task failed on all its attempts, or endpoints crash that start
+	// it.
 	Failed
 	// Refused: the job was aborted, none of its tasks ran, and none will.
 	Refused
@@ -137,6 +138,9 @@
 	// have run. It stays false until the first such end arrives, also while
 	// tasks run.
 	mayHaveRun bool
+	// crashed is set once a task was given up because endpoints crash that start
+	// it.
+	crashed bool
 	// refused holds the tasks that the owner refused.
 	refused map[job.Key]bool
 	ends    []job.TaskEnd
--- a/internal/decide/home/table_test.go
+++ b/internal/decide/home/table_test.go
@@ -88,6 +88,7 @@
 		"all done":                 {[]job.TaskEnd{end(0, 0, 1, job.Done), end(0, 1, 1, job.Done)}, home.Finished},
 		"done twice":               {[]job.TaskEnd{end(0, 0, 1, job.Done), end(0, 0, 2, job.Done)}, 0},
 		"failed once":              {[]job.TaskEnd{end(0, 0, 1, job.Failed)}, 0},
+		"endpoints crash under it": {[]job.TaskEnd{end(0, 0, 1, job.Done), end(0, 1, 1, job.Crashed)}, home.Failed},
 		"failed on all attempts":   {[]job.TaskEnd{end(0, 0, 1, job.Failed), end(0, 0, 2, job.Failed)}, home.Failed},
 		"out of range":             {[]job.TaskEnd{end(7, 0, 1, job.Done), end(0, 9, 1, job.Done)}, 0},
 	}
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -143,10 +143,16 @@
 	}
 }
 
-// canStart reports whether the endpoint may start tasks and has free
-// processors.
+// canStart reports whether the endpoint may start tasks that are not suspects,
+// and has free processors.
 func (p *Pool) canStart(now time.Time, e *endpoint) bool {
-	return e.free().CPU > 0 && !e.polledAt.Before(p.resumedAt) && !e.probationBusy() && !p.evacuated[e.DataCentre] && e.usable(now, p.cfg.MissingGrace) && p.owns(e.Endpoint)
+	return e.free().CPU > 0 && e.suspect == nil && !e.probationBusy() && p.mayUse(now, e)
+}
+
+// mayUse reports whether the endpoint may start tasks as far as its state is
+// concerned.
+func (p *Pool) mayUse(now time.Time, e *endpoint) bool {
+	return !e.polledAt.Before(p.resumedAt) && !p.evacuated[e.DataCentre] && e.usable(now, p.cfg.MissingGrace) && p.owns(e.Endpoint)
 }
 
 // startable returns the endpoints that may start tasks and have free
@@ -192,7 +198,7 @@
 			p.heldBack = true
 			break
 		}
-		if t.batch == noRoomFor || !t.queued {
+		if t.batch == noRoomFor || !t.queued || t.suspect {
 			continue
 		}
 		room, taskClass := t.batch.needs.Room, t.batch.taskClass
@@ -253,19 +259,23 @@
 // allowed reports whether the endpoint may run another task of the batch.
 func (p *Pool) allowed(b *batch, e *endpoint) bool {
 	n := &b.needs
-	if e.Service != b.service || !n.Room.Fits(e.free()) {
+	if !n.Room.Fits(e.free()) || e.probationBusy() || !p.suits(b, e) {
 		return false
 	}
-	if e.probationBusy() {
+	return n.MaxPerEndpoint == 0 || e.countRuns(b) < n.MaxPerEndpoint
+}
+
+// suits reports whether tasks of the batch may run on the endpoint, whatever
+// runs there.
+func (p *Pool) suits(b *batch, e *endpoint) bool {
+	n := &b.needs
+	if e.Service != b.service {
 		return false
 	}
 	if n.RequiredLabel != "" && !slices.Contains(e.Labels, n.RequiredLabel) {
 		return false
 	}
-	if n.SameRack && b.rack != "" && e.Rack != b.rack {
-		return false
-	}
-	return n.MaxPerEndpoint == 0 || e.countRuns(b) < n.MaxPerEndpoint
+	return !n.SameRack || b.rack == "" || e.Rack == b.rack
 }
 
 // countRuns returns how many runs of the batch's step are on the endpoint.
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -86,6 +86,14 @@
 	// until it is first needed.
 	groupSlowdown *slowdown
 	health        health
+	// outageAt is when a poll first failed since the last one that was answered,
+	// and refused is set once a connection was refused since. crashNoted is set
+	// once the crash was counted for the runs.
+	outageAt   time.Time
+	refused    bool
+	crashNoted bool
+	// suspect is the task that the endpoint is set apart for, or nil.
+	suspect *task
 }
 
 // findRun returns a run on the endpoint, or nil.
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -108,6 +108,10 @@
 	if t.run != nil {
 		return
 	}
+	if p.crashes.givenUp(t.key) {
+		p.endCrashing(t, nil)
+		return
+	}
 	if o.MayHaveStarted {
 		b.touched = true
 		t.foreignStartUntil, t.otherGroup = now, p.outsideGroup(b.home, o)
@@ -305,6 +309,9 @@
 // enqueue adds a task to the queue.
 func (p *Pool) enqueue(t *task) {
 	p.waiting.add(t)
+	if p.crashes.suspect(t.key) {
+		p.addSuspect(t)
+	}
 	if t.batch.touched {
 		p.noteStarted(t.batch)
 	}
--- a/internal/decide/owner/poll.go
+++ b/internal/decide/owner/poll.go
@@ -70,6 +70,7 @@
 		p.stats.PollsFailed++
 		e.pollFailures++
 		e.unreliableUntil = now.Add(p.cfg.UnreliablePeriod)
+		p.noteFailedPoll(now, e, result.Reply)
 		if e.ownership == ownershipHeld {
 			// Another owner may acquire it unnoticed.
 			e.ownership = ownershipUnknown
@@ -81,6 +82,9 @@
 	}
 	if p.active {
 		p.maintain(now, e)
+		if e.suspect != nil {
+			p.startSuspects(now)
+		}
 		p.dispatchOn(now, e)
 	}
 	return p.flush()
@@ -105,6 +109,7 @@
 		e.polledAt = result.SentAt
 	}
 	e.nextPoll = now
+	e.clearOutage()
 	for _, end := range result.Ended {
 		if end.Number > e.acknowledged {
 			e.acknowledged = end.Number
@@ -145,6 +150,8 @@
 	for _, row := range result.Running {
 		listed[runID{key: row.Key, run: row.Run}] = true
 	}
+	ended := slices.DeleteFunc(slices.Clone(e.runs), func(r *run) bool { return listed[r.id] })
+	p.noteRestart(now, e, ended)
 	for _, r := range e.runs {
 		// A start in flight may have reached the restarted endpoint, so that
 		// only a stop proves that the run is gone.
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -79,6 +79,11 @@
 	// group of similar endpoints.
 	groupSlowdowns map[speedGroup]*slowdown
 	loads          map[loadID]*load
+	// suspects holds the waiting tasks that run alone, and apart the endpoints
+	// that are set apart for them.
+	suspects []*task
+	apart    []*endpoint
+	crashes  crashMemory
 	// shedAt is when the waiting tasks were last searched for those that are
 	// overdue or hopeless.
 	shedAt time.Time
@@ -106,7 +111,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	p := &Pool{cfg: cfg, endpoints: map[ident.EndpointID]*endpoint{}, absentHomes: map[ident.Process]bool{}, group: Group{Whole: true}}
+	p := &Pool{cfg: cfg, endpoints: map[ident.EndpointID]*endpoint{}, crashes: crashMemory{entries: map[job.Key]*crashEntry{}}, absentHomes: map[ident.Process]bool{}, group: Group{Whole: true}}
 	p.clear()
 	return p, nil
 }
@@ -121,6 +126,7 @@
 	p.pendingEnds = map[ident.Process][]job.TaskEnd{}
 	p.groupSlowdowns = map[speedGroup]*slowdown{}
 	p.taskClasses = map[taskClassID]*taskClass{}
+	p.suspects, p.apart = nil, nil
 	p.loads, p.shedAt = map[loadID]*load{}, time.Time{}
 	p.probesInFlight, p.sweptAt, p.sweepDue = 0, time.Time{}, false
 	p.window, p.startsInFlight, p.heldBack = congestion.New(congestion.Config{}), 0, false
@@ -272,6 +278,7 @@
 			p.expireWaiting(now)
 			p.shed(now)
 		}
+		p.startSuspects(now)
 		p.dispatch(now)
 	}
 	return p.flush()
@@ -289,6 +296,7 @@
 		p.sendPoll(now, e)
 	}
 	if e.pollFailures > 0 && len(e.runs) > 0 && e.leaseExpired(now, &p.cfg) {
+		p.noteCrash(now, e, e.runs, e.refused)
 		for _, r := range slices.Clone(e.runs) {
 			p.loseRun(now, r, LeaseExpired)
 		}
@@ -373,6 +381,7 @@
 
 // flush returns the actions and reports since the last call.
 func (p *Pool) flush() []Action {
+	p.reportCrashes()
 	actions := p.actions
 	p.actions = nil
 	if len(p.pendingEnds) == 0 {
--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -28,13 +28,14 @@
 	now       time.Time
 	endpoints map[ident.EndpointID]*leased.Endpoint
 	entries   []owner.Endpoint
-	// down holds the endpoints that answer no poll.
+	// down holds the endpoints that refuse connections.
 	down      map[ident.EndpointID]bool
 	polls     []owner.Poll
 	starts    []owner.Start
 	stops     []owner.Stop
 	ends      []job.TaskEnd
 	runEvents []owner.RunEvent
+	crashes   []owner.CrashRecord
 }
 
 func newHarness(t *testing.T, endpoints int) *harness {
@@ -92,6 +93,8 @@
 			h.stops = append(h.stops, a)
 		case owner.Report:
 			h.ends = append(h.ends, a.Ends...)
+		case owner.ReportCrashes:
+			h.crashes = append(h.crashes, a.Records...)
 		case owner.RunEvent:
 			h.runEvents = append(h.runEvents, a)
 		}
@@ -112,7 +115,7 @@
 	polls := h.polls
 	h.polls = nil
 	for _, poll := range polls {
-		result := owner.PollResult{Call: poll.Number, Reply: owner.NotSent}
+		result := owner.PollResult{Call: poll.Number, Reply: owner.ConnectionRefused}
 		if !h.down[poll.Endpoint] {
 			result = h.endpoints[poll.Endpoint].Poll(h.now, poll)
 		}
@@ -144,7 +147,10 @@
 	starts := h.starts
 	h.starts = nil
 	for _, s := range starts {
-		a := h.endpoints[s.Endpoint].Start(h.now, s)
+		a := owner.CallResult{Call: s.Number, Reply: owner.ConnectionRefused}
+		if !h.down[s.Endpoint] {
+			a = h.endpoints[s.Endpoint].Start(h.now, s)
+		}
 		h.collect(h.pool.HandleCallResult(h.now, &a))
 	}
 }
@@ -153,7 +159,10 @@
 	stops := h.stops
 	h.stops = nil
 	for _, s := range stops {
-		a := h.endpoints[s.Endpoint].Stop(h.now, s)
+		a := owner.CallResult{Call: s.Number, Reply: owner.ConnectionRefused}
+		if !h.down[s.Endpoint] {
+			a = h.endpoints[s.Endpoint].Stop(h.now, s)
+		}
 		h.collect(h.pool.HandleCallResult(h.now, &a))
 	}
 }
--- a/internal/decide/owner/protocol.go
+++ b/internal/decide/owner/protocol.go
@@ -77,13 +77,16 @@
 	Unhealthy
 	// Invalid: the endpoint rejects the call as malformed.
 	Invalid
+	// ConnectionRefused: no process listens at the endpoint's address, so that
+	// nothing was sent.
+	ConnectionRefused
 	// NotSent: no byte of the call was sent.
 	NotSent
 	// Unknown: the call may have been carried out, or may yet be.
 	Unknown
 )
 
-var replyNames = [...]string{"ok", "fenced", "old-run", "late", "full", "unhealthy", "invalid", "not-sent", "unknown"}
+var replyNames = [...]string{"ok", "fenced", "old-run", "late", "full", "unhealthy", "invalid", "connection-refused", "not-sent", "unknown"}
 
 // String returns the reply in kebab case.
 func (r Reply) String() string { return replyNames[r] }
@@ -132,7 +135,7 @@
 }
 
 // Action is an effect that the code which uses a Pool must carry out: a Poll,
-// Start, Stop, Report or RunEvent.
+// Start, Stop, Report, ReportCrashes, RunEvent or RefusalEvent.
 type Action interface{ action() }
 
 // Poll polls an endpoint. It renews the lease until LeaseUntil, unless that is
@@ -200,6 +203,9 @@
 	StartRefused Event = "declined"
 	// EndpointRestarted: the endpoint has restarted and does not list the run.
 	EndpointRestarted Event = "reborn"
+	// Crashed: the endpoint has refused connections for some time while the run
+	// was on it.
+	Crashed Event = "crashed"
 )
 
 // RunEvent describes what happened to a run, for logs.
--- a/internal/decide/owner/stall.go
+++ b/internal/decide/owner/stall.go
@@ -46,10 +46,7 @@
 	if t == nil || r.phase != running || r.percent >= stallPercent || t.reruns >= maxReruns {
 		return false
 	}
-	expected := time.Duration(float64(t.batch.needs.Estimate) * r.endpoint.slowdown.blendedRatio(p.slowdownOfGroup(r.endpoint)))
-	if p.remote(t.batch, r.endpoint) {
-		expected = time.Duration(float64(expected) * p.cfg.RemoteFactor)
-	}
+	expected := p.expectedTime(t.batch, r.endpoint)
 	limit := time.Duration(stallFactor*float64(expected)) + stallMargin
 	return now.Sub(r.knownSince) > limit && now.Add(t.batch.needs.Estimate).Before(t.batch.deadline)
 }
--- a/internal/decide/owner/start.go
+++ b/internal/decide/owner/start.go
@@ -40,7 +40,7 @@
 // observeStart records how long a start took to be answered or given up.
 func (p *Pool) observeStart(now time.Time, took time.Duration, reply Reply) {
 	p.startsInFlight--
-	answered := reply != Unknown && reply != NotSent
+	answered := reply != Unknown && reply != NotSent && reply != ConnectionRefused
 	if answered {
 		p.latency.observe(took)
 	}
--- a/internal/decide/owner/stats.go
+++ b/internal/decide/owner/stats.go
@@ -19,6 +19,9 @@
 	// Shed counts the tasks that were refused before their deadline because
 	// they could not end in time, or because too many tasks waited.
 	Shed uint64
+	// GivenUp counts the tasks that were given up because endpoints crashed
+	// under them.
+	GivenUp uint64
 	// Running counts all runs on endpoints, also those that are starting,
 	// stopping or unclaimed. Stopping counts those among them that are being
 	// stopped.
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -82,6 +82,10 @@
 	waited time.Duration
 	// reruns counts the runs that were stopped because they had stalled.
 	reruns int
+	// suspect is set if the task was on an endpoint that crashed, so that it
+	// runs alone. listedAsSuspect is set while Pool.suspects holds it.
+	// startedLast is set if no other run had started on that endpoint later.
+	suspect, listedAsSuspect, startedLast bool
 	// refusals counts the starts that endpoints refused.
 	refusals int
 }
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -81,7 +81,7 @@
 		"starts": s.Starts, "starts_refused": s.StartsRefused, "tasks_shed": s.Shed, "tasks_done": s.Done, "tasks_failed": s.Failed,
 		"tasks_lost": s.Lost, "tasks_refused": s.Refused, "stops": s.Stops, "looks": s.Polls,
 		"looks_failed": s.PollsFailed, "fenced": s.Fenced, "adopted": s.Adopted, "unclaimed": s.Unclaimed,
-		"restarts": s.Reruns,
+		"restarts": s.Reruns, "tasks_given_up": s.GivenUp,
 	} {
 		metrics.WriteCounterUint64(w, "hornbeamlift_"+name+"_total", n)
 	}
@@ -108,7 +108,7 @@
 	p.log.WithFields(logrus.Fields{
 		"endpoints": s.Endpoints, "usable": s.Usable, "held": s.Held, "foreign": s.Foreign, "blocked": s.Blocked,
 		"cooling-down": s.CoolingDown, "missing": s.Missing, "waiting": s.Waiting, "running": s.Running, "stopping": s.Stopping,
-		"starts": s.Starts, "lost": s.Lost, "fenced": s.Fenced, "shed": s.Shed, "window": s.Window, "polls-failed": s.PollsFailed,
+		"starts": s.Starts, "lost": s.Lost, "fenced": s.Fenced, "shed": s.Shed, "given-up": s.GivenUp, "window": s.Window, "polls-failed": s.PollsFailed,
 		"list-age": age.Round(time.Millisecond).String(), "epoch": p.core.Epoch(),
 		"polls":  s.Polls - p.sinceStateLog.pollsBefore,
 		"behind": p.sinceStateLog.maxTickInterval.Round(time.Millisecond).String(), "goroutines": runtime.NumGoroutine(), "posts": len(p.posts),
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -10,6 +10,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/decide/group"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
 	"hornbeamlift.example/hornbeamlift/internal/decide/listing"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
@@ -31,6 +32,8 @@
 		return &peerpb.Message{Body: &peerpb.Message_WithdrawJob{WithdrawJob: &peerpb.WithdrawJob{Job: string(m)}}}
 	case dispatcher.TaskEnds:
 		return encodeEnds(m)
+	case dispatcher.CrashReport:
+		return encodeCrashes(m)
 	case listing.Snapshot:
 		return encodeSnapshot(m)
 	case listing.Changes:
@@ -62,6 +65,8 @@
 		return dispatcher.Withdrawal(body.WithdrawJob.GetJob()), true
 	case *peerpb.Message_TaskEnds:
 		return dispatcher.TaskEnds(decodeEnds(body.TaskEnds)), true
+	case *peerpb.Message_CrashReport:
+		return decodeCrashes(body.CrashReport), true
 	case *peerpb.Message_EndpointList:
 		return listing.Snapshot{
 			Endpoints: decodeEndpoints(body.EndpointList.GetEndpoints()),
@@ -155,3 +160,24 @@
 	}
 	return ends
 }
+
+func encodeCrashes(records dispatcher.CrashReport) *peerpb.Message {
+	body := &peerpb.CrashReport{Tasks: make([]*peerpb.CrashedTask, len(records))}
+	for i, r := range records {
+		body.Tasks[i] = &peerpb.CrashedTask{
+			Job: string(r.Key.Job), Step: uint32(r.Key.Step), Index: uint32(r.Key.Index), Crashes: uint32(r.Crashes), Outages: uint32(r.Outages), Suspect: r.Suspect, GivenUp: r.GivenUp,
+		}
+	}
+	return &peerpb.Message{Body: &peerpb.Message_CrashReport{CrashReport: body}}
+}
+
+func decodeCrashes(body *peerpb.CrashReport) dispatcher.CrashReport {
+	records := make(dispatcher.CrashReport, len(body.GetTasks()))
+	for i, m := range body.GetTasks() {
+		records[i] = owner.CrashRecord{
+			Key:     job.Key{Job: job.ID(m.GetJob()), Step: int(m.GetStep()), Index: int(m.GetIndex())},
+			Crashes: int(m.GetCrashes()), Outages: int(m.GetOutages()), Suspect: m.GetSuspect(), GivenUp: m.GetGivenUp(),
+		}
+	}
+	return records
+}
--- a/internal/standin/leased/endpoint.go
+++ b/internal/standin/leased/endpoint.go
@@ -14,10 +14,11 @@
 )
 
 // RunPlan is the planned outcome of a simulated run: how long it takes, and
-// whether it fails at the end.
+// whether it fails or crashes its endpoint at the end.
 type RunPlan struct {
 	Duration time.Duration
 	Fails    bool
+	Crashes  bool
 }
 
 // run is a current run of a task.
@@ -46,7 +47,11 @@
 	// OnStart and OnEnd, if set, are called when a run starts or ends.
 	OnStart func(now time.Time, key job.Key, run int)
 	OnEnd   func(now time.Time, key job.Key, run int, reason owner.EndReason)
+	// OnCrash is called when a run crashes the endpoint. The caller then makes no
+	// calls before it restarts the endpoint, which ends the runs.
+	OnCrash func(now time.Time)
 
+	crashed     bool
 	restartedAt time.Time
 	// fence is the highest fence seen since the last restart.
 	fence      owner.Fence
@@ -69,6 +74,7 @@
 	}
 	e.restartedAt = now
 	e.Entry.Incarnation = now.UnixMilli()
+	e.crashed = false
 	e.fence, e.leaseUntil, e.runs, e.unacknowledged, e.lastEndNumber = 0, 0, nil, nil, 0
 	e.highestEnded = map[job.Key]int{}
 }
@@ -82,6 +88,9 @@
 // Advance ends all runs if the lease has expired, and otherwise those whose
 // duration has passed.
 func (e *Endpoint) Advance(now time.Time) {
+	if e.crashed {
+		return
+	}
 	if len(e.runs) > 0 && e.localTime(now) > e.leaseUntil {
 		for len(e.runs) > 0 {
 			e.endRun(now, 0, owner.EndLeaseExpired)
@@ -89,6 +98,11 @@
 	}
 	for i := 0; i < len(e.runs); i++ {
 		if !e.runs[i].endsAt.After(now) {
+			if e.runs[i].plan.Crashes {
+				e.crashed = true
+				e.OnCrash(now)
+				return
+			}
 			reason := owner.EndDone
 			if e.runs[i].plan.Fails {
 				reason = owner.EndFailed
@@ -103,7 +117,7 @@
 // zero time if nothing runs.
 func (e *Endpoint) NextAdvance(now time.Time) time.Time {
 	var next time.Time
-	if len(e.runs) == 0 {
+	if len(e.runs) == 0 || e.crashed {
 		return next
 	}
 	next = now.Add(time.Duration(float64(e.leaseUntil-e.localTime(now)+1)/e.ClockRate*1000) * time.Microsecond)
