Show that shrunk room holds, also for tasks that run alone

An endpoint's room may shrink and grow while it runs. The owner takes it from each list, and free room below zero lets nothing start; TestShrunkRoomNotExceeded shows it for processors and memory, and passed at once.

An endpoint that is set apart for a suspect was chosen by its room at that time. It is now checked again before the start, and an endpoint that the task no longer fits serves others. TestSuspectNeedsRoom failed before: the task of 30 cores started on 20.

--- a/internal/decide/owner/suspect.go
+++ b/internal/decide/owner/suspect.go
@@ -74,7 +74,7 @@
 func (p *Pool) releaseApart(now time.Time) {
 	p.apart = slices.DeleteFunc(p.apart, func(e *endpoint) bool {
 		t := e.suspect
-		keep := p.mayUse(now, e) && (t.queued || (t.run != nil && t.run.endpoint == e))
+		keep := p.mayUse(now, e) && ((t.queued && p.couldRun(t.batch, e)) || (t.run != nil && t.run.endpoint == e))
 		if !keep {
 			e.suspect = nil
 		}
@@ -95,7 +95,7 @@
 	var best *endpoint
 	var bestTime time.Duration
 	for _, e := range p.sortedEndpoints {
-		if e.suspect != nil || e.probationBusy() || !p.mayUse(now, e) || !p.suits(t.batch, e) || !t.batch.needs.Room.Fits(e.Room) {
+		if e.suspect != nil || e.probationBusy() || !p.mayUse(now, e) || !p.couldRun(t.batch, e) {
 			continue
 		}
 		if took := p.timeToEmpty(now, e) + p.expectedTime(t.batch, e); best == nil || took < bestTime {
@@ -109,6 +109,12 @@
 	return best
 }
 
+// couldRun reports whether a task of the batch may run on the endpoint once
+// nothing else does.
+func (p *Pool) couldRun(b *batch, e *endpoint) bool {
+	return p.suits(b, e) && b.needs.Room.Fits(e.Room)
+}
+
 // timeToEmpty returns how long the runs of the endpoint are expected to go on.
 func (p *Pool) timeToEmpty(now time.Time, e *endpoint) time.Duration {
 	var longest time.Duration
