--- a/internal/decide/dispatcher/jobs_test.go
+++ b/internal/decide/dispatcher/jobs_test.go
@@ -30,7 +30,7 @@
 // newJob adds a random job.
 func (f *fleet) newJob() *simJob {
 	id := job.ID(fmt.Sprintf("j%d", len(f.simJobs)))
-	j := &simJob{spec: job.Spec{ID: id, Payload: string(id)}, deadline: deadline, limit: 4, completions: map[job.Key]int{}}
+	j := &simJob{spec: job.Spec{ID: id, Payload: string(id)}, deadline: deadline, limit: f.maxSubmissions, completions: map[job.Key]int{}}
 	for i := range 1 + f.rng.IntN(2) {
 		s := job.Step{Tasks: 1 + f.rng.IntN(4)}
 		s.Room = job.Room{CPU: 8000 + f.rng.Int64N(12_000), Memory: 64}
--- a/internal/decide/home/completion.go
+++ b/internal/decide/home/completion.go
@@ -72,6 +72,8 @@
 		}
 	case job.Overdue:
 		j.mayHaveRun = true
+	case job.Crashed:
+		j.mayHaveRun, j.crashed = true, true
 	}
 	if latest && (end.Outcome == job.Refused || end.Outcome == job.Overdue) {
 		j.abort = end
@@ -92,6 +94,10 @@
 // closeOrAdvance closes the job if it is finished, has failed or must be
 // aborted, or else places the steps that are ready.
 func (t *Table) closeOrAdvance(now time.Time, j *openJob) {
+	if j.crashed {
+		t.close(now, j, Failed, "endpoints crash that start one of its tasks", 0)
+		return
+	}
 	remaining := 0
 	for i := range j.steps {
 		remaining += j.steps[i].remaining
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -39,7 +39,8 @@
 const (
 	// Finished: all tasks are done.
 	Finished Result = iota + 1
-	// Failed: a task failed on all its attempts.
+	// Failed: a task failed on all its attempts, or endpoints crash that start
+	// it.
 	Failed
 	// Refused: the job was aborted, none of its tasks ran, and none will: every
 	// process that its tasks were placed at has refused them.
@@ -146,7 +147,10 @@
 	mayHaveRun bool
 	// abort is the end that aborts the job, or nil.
 	abort *job.TaskEnd
-	ends  []ReceivedEnd
+	// crashed is set once a task was given up because endpoints crash that start
+	// it.
+	crashed bool
+	ends    []ReceivedEnd
 }
 
 // keptResult is the result of a closed job, kept for callers that submit the
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -86,6 +86,14 @@
 	// until it is first needed.
 	groupSlowdown *slowdown
 	health        health
+	// outageAt is when a poll first failed since the last one that was answered,
+	// and refused is set once a connection was refused since. crashNoted is set
+	// once the crash was counted for the runs.
+	outageAt   time.Time
+	refused    bool
+	crashNoted bool
+	// suspect is the task that the endpoint is set apart for, or nil.
+	suspect *task
 }
 
 // findRun returns a run on the endpoint, or nil.
@@ -113,17 +121,13 @@
 		(e.missingSince.IsZero() || now.Sub(e.missingSince) < missingGrace)
 }
 
-// neverReached reports whether the endpoint has answered no poll since this
-// owner became active, or since it restarted, and several have failed.
-func (e *endpoint) neverReached() bool {
-	return e.polledAt.IsZero() && e.pollFailures >= unreachedFailures
-}
+// unreachableFailures is the number of failed polls in a row from which on an
+// endpoint counts as unreachable. Retries of refused connections reach it within
+// about 0.2 s, so that a lost answer or a short cut does not.
+const unreachableFailures = 4
 
-// unreachedFailures is the number of failed polls from which on an endpoint that
-// has not answered any counts as never reached. The delays between them add
-// up to 150 ms, and each may take its whole timeout besides, so that a new owner
-// does not give up endpoints that are slow to answer its first polls.
-const unreachedFailures = 4
+// unreachable reports whether the endpoint has failed to answer for some time.
+func (e *endpoint) unreachable() bool { return e.pollFailures >= unreachableFailures }
 
 // probationBusy reports whether the endpoint already has the single run that it
 // may have after a cooldown.
--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -28,11 +28,14 @@
 	now       time.Time
 	endpoints map[ident.EndpointID]*leased.Endpoint
 	entries   []owner.Endpoint
+	// down holds the endpoints that refuse connections.
+	down      map[ident.EndpointID]bool
 	polls     []owner.Poll
 	starts    []owner.Start
 	stops     []owner.Stop
 	ends      []job.TaskEnd
 	runEvents []owner.RunEvent
+	crashes   []owner.CrashRecord
 }
 
 func newHarness(t *testing.T, endpoints int) *harness {
@@ -46,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &harness{t: t, is: is.New(t), pool: pool, now: startTime, endpoints: map[ident.EndpointID]*leased.Endpoint{}}
+	h := &harness{t: t, is: is.New(t), pool: pool, now: startTime, endpoints: map[ident.EndpointID]*leased.Endpoint{}, down: map[ident.EndpointID]bool{}}
 	for i := range endpoints {
 		entry := owner.Endpoint{
 			ID: ident.EndpointID(fmt.Sprint("e-", i)), Service: "render", Room: job.Room{CPU: 32_000, Memory: 1000},
@@ -90,6 +93,8 @@
 			h.stops = append(h.stops, a)
 		case owner.Report:
 			h.ends = append(h.ends, a.Ends...)
+		case owner.ReportCrashes:
+			h.crashes = append(h.crashes, a.Records...)
 		case owner.RunEvent:
 			h.runEvents = append(h.runEvents, a)
 		}
@@ -111,8 +116,8 @@
 	polls := h.polls
 	h.polls = nil
 	for _, poll := range polls {
-		result := owner.PollResult{Call: poll.Number, Reply: owner.NotSent}
-		if e := h.endpoints[poll.Endpoint]; e != nil {
+		result := owner.PollResult{Call: poll.Number, Reply: owner.ConnectionRefused}
+		if e := h.endpoints[poll.Endpoint]; e != nil && !h.down[poll.Endpoint] {
 			result = e.Poll(h.now, poll)
 		}
 		result.SentAt = h.now
@@ -143,7 +148,10 @@
 	starts := h.starts
 	h.starts = nil
 	for _, s := range starts {
-		a := h.endpoints[s.Endpoint].Start(h.now, s)
+		a := owner.CallResult{Call: s.Number, Reply: owner.ConnectionRefused}
+		if !h.down[s.Endpoint] {
+			a = h.endpoints[s.Endpoint].Start(h.now, s)
+		}
 		h.collect(h.pool.HandleCallResult(h.now, &a))
 	}
 }
@@ -152,7 +160,10 @@
 	stops := h.stops
 	h.stops = nil
 	for _, s := range stops {
-		a := h.endpoints[s.Endpoint].Stop(h.now, s)
+		a := owner.CallResult{Call: s.Number, Reply: owner.ConnectionRefused}
+		if !h.down[s.Endpoint] {
+			a = h.endpoints[s.Endpoint].Stop(h.now, s)
+		}
 		h.collect(h.pool.HandleCallResult(h.now, &a))
 	}
 }
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -24,6 +24,9 @@
 	target   time.Time
 	deadline time.Time
 	tasks    map[int]*task
+	// placing is set while the tasks of an order are added, some of which may
+	// end at once. The batch is kept for the others.
+	placing bool
 	// touched is set once a task of the batch has been started or adopted, or
 	// another owner may have started one.
 	touched bool
@@ -81,6 +84,10 @@
 	waited time.Duration
 	// reruns counts the runs that were stopped because they had stalled.
 	reruns int
+	// suspect is set if the task was on an endpoint that crashed, so that it
+	// runs alone. listedAsSuspect is set while Pool.suspects holds it.
+	// startedLast is set if no other run had started on that endpoint later.
+	suspect, listedAsSuspect, startedLast bool
 	// refusals counts the starts that endpoints refused.
 	refusals int
 }
