Blame no task for an endpoint that drained and left

Tasks whose endpoint drained and left before they had ended became suspects, so that they waited to run alone: refused connections look like a crash. Such an outage now counts like a common one.

TestLeavingEndpointBlamesNoTask failed before: the tasks were suspects.

--- a/internal/decide/owner/crash.go
+++ b/internal/decide/owner/crash.go
@@ -158,9 +158,12 @@
 	e.clearOutage()
 }
 
-// isCommonOutage reports whether so many endpoints have gone at the same time
-// that the cause is not a task.
+// isCommonOutage reports whether the endpoint was about to leave, or so many
+// others have gone at the same time that the cause is not a task.
 func (p *Pool) isCommonOutage(e *endpoint) bool {
+	if e.Draining {
+		return true
+	}
 	window := commonSilenceWindow
 	if e.refused {
 		window = commonOutageWindow
--- a/internal/decide/owner/crash_test.go
+++ b/internal/decide/owner/crash_test.go
@@ -147,3 +147,21 @@
 	}
 	c.is.Equal(len(c.ends), 3*18)
 }
+
+// TestLeavingEndpointBlamesNoTask guards against tasks that wait to run alone
+// because their endpoint drained and left before they had ended.
+func TestLeavingEndpointBlamesNoTask(t *testing.T) {
+	c := newCrashing(t, 2)
+	c.place(home1, patient("j", 2))
+	c.play(20 * time.Millisecond)
+	c.endpoints["e-0"].Entry.Draining, c.endpoints["e-1"].Entry.Draining = true, true
+	c.updateList()
+	c.crash("e-0")
+	c.crash("e-1")
+	c.play(time.Second)
+	c.is.Equal(len(c.crashes), 2)
+	for _, r := range c.crashes {
+		c.is.Equal(r.Outages, 1)
+		c.is.True(!r.Suspect && !r.GivenUp)
+	}
+}
