--- a/internal/decide/dispatcher/deadly_test.go
+++ b/internal/decide/dispatcher/deadly_test.go
@@ -36,6 +36,10 @@
 // and against the failure of jobs beside it, also when owners are killed and
 // callers submit their jobs again to other instances.
 func TestDeadlyTasks(t *testing.T) {
+	if *seedFlag != 0 {
+		runDeadly(t, *seedFlag)
+		return
+	}
 	for seed := uint64(1); seed <= 12; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runDeadly(t, seed) })
 	}
