Keep a new link from hiding a silent one in TestSilentLinkReplaced

It waits until both sides have counted the stalled link as silent. When one side is some 50 ms later than the other, since its silence monitor runs late or forgives a pause, the other side has dialled again by then. The new link then replaces the silent one at the later side, which is right and counts nothing as silent, so that the test waits in vain.

--- a/internal/adapter/peer/link_test.go
+++ b/internal/adapter/peer/link_test.go
@@ -74,8 +74,12 @@
 		return len(p.recorded) > 20*12
 	})
 	is.Equal(a.Stats().Connections.Load(), uint64(1))
+	// Without this, a new link could replace the silent one at the slower side
+	// before that side finds it silent.
+	p.refuse(true)
 	p.stall()
 	waitFor(t, "link closed as silent", func() bool { return a.Stats().Silent.Load() == 1 && b.Stats().Silent.Load() == 1 })
+	p.refuse(false)
 	waitFor(t, "new link", func() bool { return a.Stats().Connections.Load() >= 2 && connected(a, b)() })
 	waitFor(t, "message", func() bool { return a.send(b, false, "again") && b.received() > 0 })
 }
--- a/internal/adapter/peer/proxy_test.go
+++ b/internal/adapter/peer/proxy_test.go
@@ -21,6 +21,8 @@
 	stalled   chan struct{} // closed by stall, for the connections accepted before
 	draining  chan struct{}
 	drainOnce sync.Once
+	// refusing makes the proxy close new connections at once.
+	refusing bool
 	// recorded holds all bytes read from dialling sides.
 	recorded []byte
 	// drained counts the stalled connections that were read to their end.
@@ -54,6 +56,13 @@
 	return []peer.Target{{Instance: remote.self.Instance, Address: p.Addr().String()}}
 }
 
+// refuse sets whether the proxy refuses new connections.
+func (p *proxy) refuse(refusing bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusing = refusing
+}
+
 // stall stops forwarding on all connections that exist now.
 func (p *proxy) stall() {
 	p.mu.Lock()
@@ -73,6 +82,13 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		refusing := p.refusing
+		p.mu.Unlock()
+		if refusing {
+			_ = from.Close()
+			continue
+		}
 		to, err := net.Dial("tcp", p.target)
 		if err != nil {
 			_ = from.Close()
