Allow dials of the routing baselines as much time as their calls

TestRouting/reference failed once beside other work: requests 0 and 17 failed, and it took 4.4 s instead of 0.5 s. The reference does not retry. Its calls may take a minute, but its dials had the endpoint client's default of 1 s, which runs on while the process does not: a pause of more than a second during a dial makes the dial fail with endpoint-unreachable once the process goes on, although the connection is established.

That the first failure had this cause is likely, but its output did not name the reason.

--- a/internal/standin/fleet/policy_test.go
+++ b/internal/standin/fleet/policy_test.go
@@ -93,9 +93,14 @@
 	return a, nil
 }
 
+// callTimeout bounds the calls of a baseline or of the reference, and their
+// dials: the reference does not retry, so a pause of this process during a dial
+// must not fail a task.
+const callTimeout = time.Minute
+
 // call runs a task at the endpoint with the given index.
 func (b *backends) call(ctx context.Context, t *work.Task, index int) work.Result {
-	return b.client.RunTask(ctx, endpoint.Call{Instance: b.list[index], Task: t, Timeout: time.Minute})
+	return b.client.RunTask(ctx, endpoint.Call{Instance: b.list[index], Task: t, Timeout: callTimeout})
 }
 
 // randomChoice is an instance of a baseline. It knows only its own tasks and
--- a/internal/standin/fleet/run_test.go
+++ b/internal/standin/fleet/run_test.go
@@ -116,7 +116,7 @@
 // newClient returns the backends with a separate client. Each instance of a
 // baseline has one.
 func (b *backends) newClient(t testing.TB) *backends {
-	client, err := endpoint.New(endpoint.Settings{})
+	client, err := endpoint.New(endpoint.Settings{DialTimeout: callTimeout})
 	if err != nil {
 		t.Fatal(err)
 	}
