Start nothing for 0.65 s on an endpoint acquired from another owner

Trace: instance 1 owns, and has yielded e-3 to instance 3, an owner for 25 ms at 10.000 s. At 10.847 s it is cut off from its peers. Instance 0 takes over at 10.901 s, polls all endpoints under epoch by 10.908 s, and starts j550 on e-1 at 10.927 s. That every endpoint was polled since the task was placed is what instance 0 relies on to keep earlier owners from starting it.

Change: once an endpoint has accepted a fence that was raised over another owner's, nothing starts there for OwnerConflictDelay (0.65 s), as with tasks of a yielded endpoint. The raised fence is accepted after the new owner's poll, or that poll is refused; the home had left before that poll; so when the delay is over the old owner has got the home's heartbeat or missed them for 0.5 s, and has withdrawn or stopped its tasks. Other endpoints refuse its starts. An endpoint on which a superseded poll succeeds waits for the raised one.

Evidence: TestOutbidOwnerNotStartedBeside (reclaimed, after the back-off, at a takeover) fails in all three cases without the change: the endpoint starts a task at once.

--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -43,6 +43,11 @@
 	// fenceStep doubles with each raise until a poll succeeds.
 	fence     Fence
 	fenceStep uint64
+	// outbidding is set while the fence was raised above that of another owner
+	// and no poll has been accepted with it. startsFrom is when tasks may start
+	// after that.
+	outbidding bool
+	startsFrom time.Time
 	// clock is the latest reading of the endpoint's clock, which arrived at
 	// clockReadAt.
 	clock       EndpointTime
@@ -110,6 +115,7 @@
 func (e *endpoint) usable(now time.Time, missingGrace time.Duration) bool {
 	return e.ownership == ownershipHeld && !e.Draining && e.pollFailures == 0 && e.unclaimed == 0 &&
 		e.Incarnation == e.lastIncarnation && now.Sub(e.polledAt) <= pollValidity && !now.Before(e.cooldownUntil) &&
+		!e.outbidding && !now.Before(e.startsFrom) &&
 		(e.missingSince.IsZero() || now.Sub(e.missingSince) < missingGrace)
 }
 
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -145,7 +145,8 @@
 // allPolledSince returns the time since which the list of endpoints has been
 // read and every known endpoint, including those missing from the list, has
 // been polled successfully. Runs that another owner started before then are in
-// the polled lists, and endpoints refuse its later calls.
+// the polled lists, and endpoints refuse its later calls, except for stops and
+// polls of an owner that outbids this one's fence; see Pool.handleAcquired.
 func (p *Pool) allPolledSince() time.Time {
 	since := p.listedAt
 	for _, e := range p.sortedEndpoints {
--- a/internal/decide/owner/ownership.go
+++ b/internal/decide/owner/ownership.go
@@ -65,12 +65,28 @@
 	p.fence = max(p.fence, e.fence)
 }
 
+// outbid raises the fence for an endpoint above that of another owner.
+func (p *Pool) outbid(e *endpoint) {
+	p.raiseFence(e)
+	e.outbidding = true
+}
+
+// handleAcquired records that an endpoint has accepted a poll with the fence
+// that outbids the one of another owner. That owner may have polled the endpoint
+// after homes placed their tasks there, and then counts on its fence: it starts
+// these tasks elsewhere. They may still wait here as well, so none starts on the
+// endpoint for OwnerConflictDelay, by when heartbeats between the instances, or
+// a lost link, have shown this.
+func (p *Pool) handleAcquired(now time.Time, e *endpoint) {
+	e.outbidding, e.startsFrom = false, now.Add(p.cfg.OwnerConflictDelay)
+}
+
 // handleFenced handles a poll that was refused because of its fence. If this
 // owner has not held the endpoint yet, the higher fence may be that of an owner
 // that is gone, so this owner raises its own; otherwise it yields the endpoint.
 func (p *Pool) handleFenced(now time.Time, e *endpoint) {
 	if e.ownership == ownershipUnknown && !e.fenceAccepted && e.fenceStep < yieldFenceStep {
-		p.raiseFence(e)
+		p.outbid(e)
 		e.nextPoll = now
 		return
 	}
--- a/internal/decide/owner/poll.go
+++ b/internal/decide/owner/poll.go
@@ -14,7 +14,7 @@
 func (p *Pool) sendPoll(now time.Time, e *endpoint) {
 	wait := p.cfg.PollWait
 	if e.ownership == ownershipForeign {
-		p.raiseFence(e)
+		p.outbid(e)
 	}
 	switch {
 	case e.ownership != ownershipHeld || e.pollFailures > 0:
@@ -62,6 +62,9 @@
 	switch result.Reply {
 	case OK:
 		p.applyPoll(now, e, result)
+		if e.outbidding && !c.superseded() {
+			p.handleAcquired(now, e)
+		}
 	case Fenced:
 		if !c.superseded() {
 			p.handleFenced(now, e)
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -369,3 +369,46 @@
 	}
 	h.is.Equal(started+len(h.ends), homes) // all tasks that may have started before were started
 }
+
+// TestOutbidOwnerNotStartedBeside guards against a task that an owner starts on
+// an endpoint right after it has outbid the fence of another one: that one
+// counts on its poll of the endpoint to keep earlier owners from starting, and
+// the task's home may have placed it there.
+func TestOutbidOwnerNotStartedBeside(t *testing.T) {
+	cfg := owner.Config{}.Defaults()
+	tests := map[string]func(h *harness){
+		"reclaimed":      func(h *harness) { h.collect(h.pool.Reclaim(h.now)) },
+		"after back-off": func(h *harness) { h.advance(cfg.ForeignBackOff) },
+		"at its takeover": func(h *harness) {
+			h.collect(h.pool.Activate(h.now, owner.NewFence(8, 1), func(owner.Endpoint) bool { return true }))
+		},
+	}
+	for name, acquire := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			pollOfOther := func(epoch uint64) {
+				poll := owner.Poll{Call: owner.Call{Fence: owner.NewFence(epoch, 2)}}
+				h.is.Equal(h.endpoints["e-0"].Poll(h.now, poll).Reply, owner.OK)
+			}
+			pollOfOther(7)
+			h.answerPolls()
+			h.is.Equal(h.pool.Stats(h.now).Foreign, 1)
+			pollOfOther(2000)
+			acquire(h)
+			o := order("j", 1, 10_000)
+			o.Deadline = time.Minute
+			h.place(home1, o)
+			for h.pool.Stats(h.now).Held == 0 {
+				h.answerPolls()
+				h.collect(h.pool.Tick(h.now))
+			}
+			acquiredAt := h.now
+			for len(h.starts) == 0 && h.now.Sub(acquiredAt) < time.Minute {
+				h.advance(20 * time.Millisecond)
+				h.answerPolls()
+			}
+			h.is.Equal(len(h.starts), 1)
+			h.is.True(h.now.Sub(acquiredAt) >= cfg.OwnerConflictDelay)
+		})
+	}
+}
