Start new tasks at once on an endpoint acquired from another owner

The room of the endpoints was idle meanwhile, also after all instances had stopped, when no other owner is left.

Change: only tasks that were placed before the endpoint accepted the raised fence wait.

--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -210,9 +210,12 @@
 		if !now.Before(t.batch.deadline) || !p.safeToStart(now, polledSince, t) {
 			continue
 		}
-		e := p.chooseEndpoint(t, *startable)
+		e := p.chooseEndpoint(now, t, *startable)
 		if e == nil {
-			taskClass.markNoRoom(p.searchRound, room)
+			// Later batches may start where this one must not yet.
+			if now.Sub(p.acquiredAt) >= p.cfg.OwnerConflictDelay {
+				taskClass.markNoRoom(p.searchRound, room)
+			}
 			noRoomFor = t.batch
 			continue
 		}
@@ -232,12 +235,12 @@
 // chooseEndpoint returns the endpoint where the task is expected to end first,
 // or nil. Among endpoints of similar speed, it prefers the one with the least
 // room left over.
-func (p *Pool) chooseEndpoint(t *task, startable []*endpoint) *endpoint {
+func (p *Pool) chooseEndpoint(now time.Time, t *task, startable []*endpoint) *endpoint {
 	b := t.batch
 	var best *endpoint
 	var bestRatio, bestRoomLeft float64
 	for _, e := range startable {
-		if !p.allowed(b, e) {
+		if !p.allowed(now, b, e) {
 			continue
 		}
 		ratio := e.slowdown.blendedRatio(p.slowdownOfGroup(e))
@@ -257,9 +260,9 @@
 const slowdownTolerance = 0.08
 
 // allowed reports whether the endpoint may run another task of the batch.
-func (p *Pool) allowed(b *batch, e *endpoint) bool {
+func (p *Pool) allowed(now time.Time, b *batch, e *endpoint) bool {
 	n := &b.needs
-	if !n.Room.Fits(e.free()) || e.probationBusy() || !p.suits(b, e) {
+	if !n.Room.Fits(e.free()) || e.probationBusy() || !p.suits(b, e) || p.conflicts(now, b, e) {
 		return false
 	}
 	return n.MaxPerEndpoint == 0 || e.countRuns(b) < n.MaxPerEndpoint
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -44,10 +44,9 @@
 	fence     Fence
 	fenceStep uint64
 	// outbidding is set while the fence was raised above that of another owner
-	// and no poll has been accepted with it. startsFrom is when tasks may start
-	// after that.
+	// and no poll has been accepted with it. acquiredAt is when one last was.
 	outbidding bool
-	startsFrom time.Time
+	acquiredAt time.Time
 	// clock is the latest reading of the endpoint's clock, which arrived at
 	// clockReadAt.
 	clock       EndpointTime
@@ -123,7 +122,7 @@
 func (e *endpoint) usable(now time.Time, missingGrace time.Duration) bool {
 	return e.ownership == ownershipHeld && !e.Draining && e.pollFailures == 0 && e.unclaimed == 0 &&
 		e.Incarnation == e.lastIncarnation && now.Sub(e.polledAt) <= pollValidity && !now.Before(e.cooldownUntil) &&
-		!e.outbidding && !now.Before(e.startsFrom) &&
+		!e.outbidding &&
 		(e.missingSince.IsZero() || now.Sub(e.missingSince) < missingGrace)
 }
 
--- a/internal/decide/owner/ownership.go
+++ b/internal/decide/owner/ownership.go
@@ -72,13 +72,20 @@
 }
 
 // handleAcquired records that an endpoint has accepted a poll with the fence
-// that outbids the one of another owner. That owner may have polled the endpoint
-// after homes placed their tasks there, and then counts on its fence: it starts
-// these tasks elsewhere. They may still wait here as well, so none starts on the
-// endpoint for OwnerConflictDelay, by when heartbeats between the instances, or
-// a lost link, have shown this.
+// that outbids the one of another owner.
 func (p *Pool) handleAcquired(now time.Time, e *endpoint) {
-	e.outbidding, e.startsFrom = false, now.Add(p.cfg.OwnerConflictDelay)
+	e.outbidding, e.acquiredAt = false, now
+	p.acquiredAt = now
+}
+
+// conflicts reports whether another owner may still run tasks of the batch that
+// this one must not start on the endpoint. That owner may have polled the
+// endpoint after the batch was placed there, and then counts on its fence, which
+// this owner has outbid since: it starts the tasks elsewhere. By
+// OwnerConflictDelay after that, heartbeats between the instances, or a lost
+// link, have withdrawn them here.
+func (p *Pool) conflicts(now time.Time, b *batch, e *endpoint) bool {
+	return !b.placedAt.After(e.acquiredAt) && now.Sub(e.acquiredAt) < p.cfg.OwnerConflictDelay
 }
 
 // handleFenced handles a poll that was refused because of its fence. If this
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -34,6 +34,8 @@
 	absentHomes     map[ident.Process]bool
 	endpoints       map[ident.EndpointID]*endpoint
 	sortedEndpoints []*endpoint // by ID, so that decisions are deterministic
+	// acquiredAt is when the latest endpoint was acquired from another owner.
+	acquiredAt time.Time
 	// listedAt is when the list of endpoints was read.
 	listedAt time.Time
 	// knownSince is when the first list of endpoints arrived.
--- a/internal/decide/owner/suspect.go
+++ b/internal/decide/owner/suspect.go
@@ -95,7 +95,7 @@
 	var best *endpoint
 	var bestTime time.Duration
 	for _, e := range p.sortedEndpoints {
-		if e.suspect != nil || e.probationBusy() || !p.mayUse(now, e) || !p.couldRun(t.batch, e) {
+		if e.suspect != nil || e.probationBusy() || !p.mayUse(now, e) || !p.couldRun(t.batch, e) || p.conflicts(now, t.batch, e) {
 			continue
 		}
 		if took := p.timeToEmpty(now, e) + p.expectedTime(t.batch, e); best == nil || took < bestTime {
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -428,6 +428,13 @@
 				h.collect(h.pool.Tick(h.now))
 			}
 			acquiredAt := h.now
+			h.place(home1, order("k", 1, 10_000))
+			h.is.Equal(len(h.starts), 0) // placed at the moment of the acquisition
+			h.collect(h.pool.Withdraw(home1, "k"))
+			h.now = h.now.Add(time.Millisecond)
+			h.place(home1, order("l", 1, 10_000))
+			h.is.Equal(len(h.starts), 1) // its home follows this owner still
+			h.answerStarts()
 			for len(h.starts) == 0 && h.now.Sub(acquiredAt) < time.Minute {
 				h.advance(20 * time.Millisecond)
 				h.answerPolls()
