--- a/cmd/hornbeamlift/drain_test.go
+++ b/cmd/hornbeamlift/drain_test.go
@@ -37,6 +37,11 @@
 		jobs = append(jobs, p.submit("entry-1", pressJob(p.newID("entry-1"), 1)))
 	}
 	p.waitFor("the tasks of the job to start", func() bool { return len(p.starts(jobID)) > 20 })
+	// A job that arrives after the signal is refused.
+	p.waitFor("all jobs to arrive", func() bool {
+		c := p.status("entry-1").Counters
+		return c.Submissions+c.Refused >= uint64(len(jobs))
+	})
 	p.signal("entry-1", syscall.SIGTERM)
 	p.waitFor("ids to be refused", func() bool {
 		_, err := p.instances["entry-1"].client.IDs(ctx, 1)
