Log starts after a takeover, withdrawn runs and polled endpoints

The record has two runs at two owners, and nothing in the logs says why the second owner took its start for safe. A start that relies on the absence of an earlier owner's run now leaves an event with its basis (all endpoints polled, delay, or new task), a run that is withdrawn leaves one too, and a new owner logs when it has polled all endpoints that it knows. No decision changes.

go test of decide/owner, decide/dispatcher and process/dispatch passes.

--- a/internal/decide/dispatcher/actions.go
+++ b/internal/decide/dispatcher/actions.go
@@ -20,7 +20,7 @@
 			c.pending = append(c.pending, Send{To: a.To, Message: Orders(a.Orders)})
 		case home.Withdraw:
 			if a.To == c.self {
-				c.applyPoolActions(now, c.pool.Withdraw(c.self, a.Job))
+				c.applyPoolActions(now, c.pool.Withdraw(now, c.self, a.Job))
 				continue
 			}
 			// An owner drops the tasks of homes whose link is lost.
--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -56,8 +56,8 @@
 }
 
 // Action is an action for the caller of a Core to carry out: an owner.Poll,
-// owner.Start, owner.Stop, owner.RunEvent or owner.RefusalEvent, a home.Answer,
-// or a Send, CloseLink, ReadEndpoints, LayoutChanged, OwnerChanged or
+// owner.Start, owner.Stop, owner.RunEvent, owner.TakeoverEvent or
+// owner.RefusalEvent, a home.Answer, or a Send, CloseLink, ReadEndpoints, LayoutChanged, OwnerChanged or
 // IsolationChanged.
 type Action any
 
@@ -223,7 +223,7 @@
 	slices.SortFunc(expired, func(a, b ident.Process) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
 	for _, process := range expired {
 		delete(c.lostPeers, process)
-		c.applyPoolActions(now, c.pool.WithdrawTasksOf(process))
+		c.applyPoolActions(now, c.pool.WithdrawTasksOf(now, process))
 	}
 }
 
@@ -353,7 +353,7 @@
 		c.exchangeList(now, from, m)
 		if m.Owner.Instance != "" && m.Owner != c.self {
 			// The sender has placed its tasks at another owner.
-			c.applyPoolActions(now, c.pool.WithdrawTasksOf(from))
+			c.applyPoolActions(now, c.pool.WithdrawTasksOf(now, from))
 		}
 		// This heartbeat may complete the check; an owner is then chosen.
 		if c.view.CheckingPeers() {
@@ -362,7 +362,7 @@
 	case Orders:
 		c.applyPoolActions(now, c.pool.Place(now, from, m))
 	case Withdrawal:
-		c.applyPoolActions(now, c.pool.Withdraw(from, job.ID(m)))
+		c.applyPoolActions(now, c.pool.Withdraw(now, from, job.ID(m)))
 	case CrashReport:
 		c.pool.ObserveCrashes(now, m)
 	case TaskEnds:
--- a/internal/decide/owner/backlog_test.go
+++ b/internal/decide/owner/backlog_test.go
@@ -120,7 +120,7 @@
 		timed(func() { h.collect(h.pool.Tick(h.now)) })
 		for range b.leaving {
 			id := job.ID(fmt.Sprint("j-", left+backlogJobs/2))
-			timed(func() { h.collect(h.pool.Withdraw(home1, id)) })
+			timed(func() { h.collect(h.pool.Withdraw(h.now, home1, id)) })
 			left++
 			place()
 		}
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -322,6 +322,7 @@
 	r := t.run
 	e := r.endpoint
 	r.firstToRun, t.mayHaveRun = !t.mayHaveRun, true
+	p.reportStart(now, t)
 	s := Start{Call: p.newCall(e), Key: t.key, Run: r.id.run, Payload: t.batch.payload, LeaseUntil: e.extendLease(now, p.cfg.LeaseMax)}
 	p.inFlight[s.Number] = inFlightCall{endpoint: e, run: r, fence: s.Fence, sentAt: now}
 	p.stats.Starts++
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -199,10 +199,10 @@
 
 // Withdraw drops all tasks of a job that its home no longer needs, and stops
 // their runs.
-func (p *Pool) Withdraw(home ident.Process, id job.ID) []Action {
+func (p *Pool) Withdraw(now time.Time, home ident.Process, id job.ID) []Action {
 	for _, b := range slices.Clone(p.batchesByJob[id]) {
 		if b.home == home {
-			p.withdraw(b)
+			p.withdraw(now, b)
 		}
 	}
 	return p.flush()
@@ -221,7 +221,7 @@
 
 // WithdrawTasksOf drops all tasks of a home that is gone or has placed its
 // tasks at another owner, and stops their runs.
-func (p *Pool) WithdrawTasksOf(home ident.Process) []Action {
+func (p *Pool) WithdrawTasksOf(now time.Time, home ident.Process) []Action {
 	p.SetHomeAbsent(home, false)
 	var homeBatches []*batch
 	for id, b := range p.batches {
@@ -233,15 +233,18 @@
 		return cmp.Or(strings.Compare(string(a.job), string(b.job)), cmp.Compare(a.step, b.step))
 	})
 	for _, b := range homeBatches {
-		p.withdraw(b)
+		p.withdraw(now, b)
 	}
 	return p.flush()
 }
 
-func (p *Pool) withdraw(b *batch) {
+func (p *Pool) withdraw(now time.Time, b *batch) {
 	for _, index := range slices.Sorted(maps.Keys(b.tasks)) {
 		t := b.tasks[index]
 		r := t.run
+		if r != nil {
+			p.addRunEvent(now, Withdrawn, r)
+		}
 		p.dropTask(t)
 		if r != nil {
 			r.task, t.run = nil, nil
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -17,9 +17,11 @@
 type Pool struct {
 	cfg    Config
 	active bool
-	// activatedAt is when the pool last became active.
-	activatedAt time.Time
-	fence       Fence
+	// activatedAt is when the pool last became active. takeoverReported is set
+	// once all known endpoints have been polled since.
+	activatedAt      time.Time
+	takeoverReported bool
+	fence            Fence
 	// resumedAt is when the latest pause of the process ended. pausedUntil is
 	// when the pool may start tasks again after it, on endpoints that were
 	// polled since.
@@ -274,6 +276,7 @@
 		for _, e := range p.sortedEndpoints {
 			p.maintain(now, e)
 		}
+		p.reportTakeover(now)
 		p.expireInherited(now)
 		if now.Sub(p.shedAt) >= shedInterval {
 			p.shedAt = now
@@ -341,9 +344,13 @@
 	if !r.endpoint.polledAt.IsZero() {
 		pollAge = now.Sub(r.endpoint.polledAt)
 	}
-	p.actions = append(p.actions, RunEvent{
+	e := RunEvent{
 		Event: event, Key: r.id.key, Run: r.id.run, Endpoint: r.endpoint.ID, Age: now.Sub(r.knownSince), PollAge: pollAge, HasTask: r.task != nil,
-	})
+	}
+	if r.task != nil {
+		e.Home, e.Placement = r.task.batch.home.Instance, r.task.placement
+	}
+	p.actions = append(p.actions, e)
 }
 
 // loseRun removes a run that ended without a result and requeues its task.
--- a/internal/decide/owner/pool_test.go
+++ b/internal/decide/owner/pool_test.go
@@ -191,7 +191,7 @@
 	h.place(home1, order("j", 5, 10_000))
 	h.is.Equal(len(h.starts), 3) // 32 cores have room for three tasks of 10
 	h.answerStarts()
-	h.collect(h.pool.Withdraw(home1, "j"))
+	h.collect(h.pool.Withdraw(h.now, home1, "j"))
 	h.is.Equal(len(h.stops), 3)
 	h.place(home1, order("k", 1, 10_000))
 	h.is.Equal(len(h.starts), 0) // the stopped runs have not ended yet
--- a/internal/decide/owner/protocol.go
+++ b/internal/decide/owner/protocol.go
@@ -139,7 +139,7 @@
 }
 
 // Action is an effect that the code which uses a Pool must carry out: a Poll,
-// Start, Stop, Report, ReportCrashes, RunEvent or RefusalEvent.
+// Start, Stop, Report, ReportCrashes, RunEvent, TakeoverEvent or RefusalEvent.
 type Action interface{ action() }
 
 // Poll polls an endpoint. It renews the lease until LeaseUntil, unless that is
@@ -210,6 +210,26 @@
 	// Crashed: the endpoint has refused connections for some time while the run
 	// was on it.
 	Crashed Event = "crashed"
+	// StartedAfterTakeover: a run starts while another run of the task may have
+	// been started by an earlier owner. RunEvent.Basis says why it may start.
+	StartedAfterTakeover Event = "started"
+	// Withdrawn: the home no longer needs the task, is lost or follows another
+	// owner, so that the run is stopped.
+	Withdrawn Event = "withdrawn"
+)
+
+// StartBasis says why a task may start of which an earlier owner may have a run.
+type StartBasis string
+
+// The reasons for a start after a takeover.
+const (
+	// BasisPolled: all known endpoints were polled since the task was placed.
+	BasisPolled StartBasis = "polled"
+	// BasisDelay: Config.ForeignStartDelay has passed since the task was placed.
+	BasisDelay StartBasis = "delay"
+	// BasisNew: the home has not placed the task before, and not all known
+	// endpoints were polled since this owner became active.
+	BasisNew StartBasis = "new"
 )
 
 // RunEvent describes what happened to a run, for logs.
@@ -226,6 +246,23 @@
 	PollAge time.Duration
 	// HasTask is set when the run belongs to a task that has not ended.
 	HasTask bool
+	// Home is the home of that task, and Placement the number of its order.
+	Home      ident.InstanceID
+	Placement uint64
+	// Basis is set for StartedAfterTakeover. Unpolled is then the number of
+	// known endpoints that were not polled since this owner became active.
+	Basis    StartBasis
+	Unpolled int
+}
+
+// TakeoverEvent says that a new owner has polled all endpoints that it knows,
+// for logs.
+type TakeoverEvent struct {
+	// After is the time since the owner became active.
+	After time.Duration
+	// Endpoints is the number of known endpoints, and Runs that of the runs on
+	// them.
+	Endpoints, Runs int
 }
 
 // RefusalEvent describes the tasks of a load that were refused because they
@@ -248,12 +285,13 @@
 	Waiting, Running int
 }
 
-func (RefusalEvent) action() {}
-func (RunEvent) action()     {}
-func (Poll) action()         {}
-func (Start) action()        {}
-func (Stop) action()         {}
-func (Report) action()       {}
+func (RefusalEvent) action()  {}
+func (RunEvent) action()      {}
+func (TakeoverEvent) action() {}
+func (Poll) action()          {}
+func (Start) action()         {}
+func (Stop) action()          {}
+func (Report) action()        {}
 
 // PollResult is the result of a Poll, whose Number is in Call.
 type PollResult struct {
--- a/internal/decide/owner/refusal_test.go
+++ b/internal/decide/owner/refusal_test.go
@@ -166,7 +166,7 @@
 	h.place(home1, order("j", 1, 10_000))
 	h.place(home2, order("j", 1, 10_000))
 	h.answerPolls() // finds the run
-	h.collect(h.pool.Withdraw(home1, "j"))
+	h.collect(h.pool.Withdraw(h.now, home1, "j"))
 	h.answerStops()
 	h.refuseStarts(owner.Unhealthy)
 	h.is.Equal(len(h.ends), 1)
--- a/internal/decide/owner/run_event_test.go
+++ b/internal/decide/owner/run_event_test.go
@@ -66,6 +66,10 @@
 			h.answerPolls()
 			h.advance(400 * time.Millisecond)
 		}, owner.Unclaimed, false},
+		"job withdrawn": {func(h *harness) {
+			h.answerStarts()
+			h.collect(h.pool.Withdraw(h.now, home1, "j"))
+		}, owner.Withdrawn, true},
 		"job resubmitted": {func(h *harness) {
 			h.answerStarts()
 			h.place(home2, order("j", 1, 10_000))
@@ -90,3 +94,41 @@
 		})
 	}
 }
+
+// TestStartsAfterTakeoverReported guards against starts that rely on the absence
+// of a run of an earlier owner and leave no event that says why.
+func TestStartsAfterTakeoverReported(t *testing.T) {
+	tests := map[string]struct {
+		mayHaveStarted bool
+		unreachable    bool
+		wait           time.Duration
+		basis          owner.StartBasis
+	}{
+		"all endpoints polled":     {true, false, 0, owner.BasisPolled},
+		"delay":                    {true, true, 1800 * time.Millisecond, owner.BasisDelay},
+		"new, endpoint not polled": {false, true, 500 * time.Millisecond, owner.BasisNew},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, 2)
+			h.now = h.now.Add(5 * time.Second)
+			h.down["e-1"] = tt.unreachable
+			h.polls, h.runEvents = nil, nil
+			h.collect(h.pool.Activate(h.now, owner.NewFence(6, 2), func(owner.Endpoint) bool { return true }))
+			o := order("j", 1, 10_000)
+			o.MayHaveStarted, o.Deadline = tt.mayHaveStarted, time.Minute
+			h.place(home1, o)
+			for end := h.now.Add(tt.wait); len(h.runEvents) == 0 && !h.now.After(end); {
+				h.advance(20 * time.Millisecond)
+				h.updateList()
+				h.answerPolls()
+			}
+			is.True(len(h.runEvents) > 0)
+			is.Equal(h.runEvents[0].Event, owner.StartedAfterTakeover)
+			is.Equal(h.runEvents[0].Basis, tt.basis)
+			is.Equal(h.runEvents[0].Home, home1.Instance)
+			is.Equal(h.runEvents[0].Unpolled > 0, tt.unreachable)
+		})
+	}
+}
--- a/internal/decide/owner/shed_test.go
+++ b/internal/decide/owner/shed_test.go
@@ -145,7 +145,7 @@
 	again := order("again", 2*capacity, 10_000)
 	again.MayHaveStarted = true
 	f.place(home1, again)
-	f.collect(f.pool.Withdraw(home1, again.Job))
+	f.collect(f.pool.Withdraw(f.now, home1, again.Job))
 	for i := range capacity / 3 {
 		o := order(fmt.Sprint("late-", i), 1, 10_000)
 		o.Target, o.Deadline, o.Needs.Estimate = 0, 900*time.Millisecond, 100*time.Millisecond
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -265,7 +265,7 @@
 	placedAgain.MayHaveStarted, placedAgain.Deadline = true, time.Minute
 	h.place(home1, placedAgain)
 	h.is.Equal(len(h.ends), 1) // the first task was done
-	h.collect(h.pool.Withdraw(home1, "j"))
+	h.collect(h.pool.Withdraw(h.now, home1, "j"))
 	h.is.Equal(h.pool.Stats(h.now).Waiting, 0)
 	for range 10 {
 		h.advance(200 * time.Millisecond)
@@ -430,7 +430,7 @@
 			acquiredAt := h.now
 			h.place(home1, order("k", 1, 10_000))
 			h.is.Equal(len(h.starts), 0) // placed at the moment of the acquisition
-			h.collect(h.pool.Withdraw(home1, "k"))
+			h.collect(h.pool.Withdraw(h.now, home1, "k"))
 			h.now = h.now.Add(time.Millisecond)
 			h.place(home1, order("l", 1, 10_000))
 			h.is.Equal(len(h.starts), 1) // its home follows this owner still
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -78,6 +78,8 @@
 			go p.runStop(a)
 		case owner.RunEvent:
 			p.logRunEvent(a)
+		case owner.TakeoverEvent:
+			p.logTakeover(a)
 		case owner.RefusalEvent:
 			p.logRefusals(a)
 		case home.Answer:
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -158,10 +158,23 @@
 
 // logRunEvent logs an event about a run.
 func (p *Process) logRunEvent(e owner.RunEvent) {
-	p.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"task": e.Key.String(), "run": e.Run, "endpoint": e.Endpoint, "event": string(e.Event), "again": e.HasTask,
 		"age": e.Age.Round(time.Millisecond).String(), "seen": e.PollAge.Round(time.Millisecond).String(), "epoch": p.core.Epoch(),
-	}).Info("run of a task")
+		"home": e.Home, "order": e.Placement,
+	}
+	if e.Basis != "" {
+		fields["basis"], fields["unpolled"] = string(e.Basis), e.Unpolled
+	}
+	p.log.WithFields(fields).Info("run of a task")
+}
+
+// logTakeover logs that this instance, as the new owner, has polled all
+// endpoints that it knows.
+func (p *Process) logTakeover(e owner.TakeoverEvent) {
+	p.log.WithFields(logrus.Fields{
+		"after": e.After.Round(time.Millisecond).String(), "endpoints": e.Endpoints, "runs": e.Runs, "epoch": p.core.Epoch(),
+	}).Info("all endpoints polled")
 }
 
 // logPoll logs a poll that was not answered, or was answered with an error.
