Draw series of takeovers in the random schedules

The random schedules kill or pause the owner once in a while, and their endpoints answer within some milliseconds unless they are cut off. They draw no takeover that follows another within a second while a part of the endpoints cannot be reached, no whole machine that is cut off with its callers, no cut in one direction, no lapsed entries, no clock steps and, outside of the refusal schedules, no message that overtakes another.

A task that runs twice is reported with what the second owner knew of the first run.

--- a/internal/decide/dispatcher/endpoint_test.go
+++ b/internal/decide/dispatcher/endpoint_test.go
@@ -32,15 +32,27 @@
 // sendCall delivers a start or stop to an endpoint, at once or late. Its answer
 // may be lost; the instance then gets the reply owner.Unknown after
 // callTimeout.
-func (f *fleet) sendCall(n *simInstance, id ident.EndpointID, do func(*simEndpoint) owner.CallResult, number uint64) {
-	s := f.endpointByID(id)
+func (f *fleet) sendCall(n *simInstance, call owner.Call, do func(*simEndpoint) owner.CallResult) {
+	s := f.endpointByID(call.Endpoint)
 	p := n.process
+	answered := false
 	reply := func(a owner.CallResult) {
+		if answered {
+			return
+		}
+		answered = true
 		f.deliver(n, p, func() { f.apply(n, n.core.HandleCallResult(f.clock(n), &a)) })
 	}
-	lost := func() { f.at(callTimeout, func() { reply(owner.CallResult{Call: number, Reply: owner.Unknown}) }) }
+	lost := func() {
+		if !f.learnedTimeouts {
+			f.at(callTimeout, func() { reply(owner.CallResult{Call: call.Number, Reply: owner.Unknown}) })
+		}
+	}
+	if f.learnedTimeouts {
+		f.at(call.Timeout, func() { reply(owner.CallResult{Call: call.Number, Reply: owner.Unknown}) })
+	}
 	if s.down && s.refuses {
-		f.at(f.delay(), func() { reply(owner.CallResult{Call: number, Reply: owner.ConnectionRefused}) })
+		f.at(f.delay(), func() { reply(owner.CallResult{Call: call.Number, Reply: owner.ConnectionRefused}) })
 		return
 	}
 	if !f.reaches(n, s) {
@@ -59,21 +71,26 @@
 		lost()
 		return
 	}
-	f.at(f.delay(), func() {
+	f.at(f.callDelay(n, s), func() {
 		if !f.reaches(n, s) {
 			lost()
 			return
 		}
 		a := do(s)
 		f.scheduleEnd(s)
-		if f.chance(s.lostShare) {
+		if f.chance(s.lostShare) || f.answerCuts[[2]int{n.index, s.index}] {
 			lost()
 			return
 		}
-		f.at(f.delay(), func() { reply(a) })
+		f.at(f.callDelay(n, s), func() { reply(a) })
 	})
 }
 
+// callDelay returns how long a call or its answer takes.
+func (f *fleet) callDelay(n *simInstance, s *simEndpoint) time.Duration {
+	return f.delay() + f.callDelays[[2]int{n.index, s.index}]
+}
+
 // poll delivers a poll to an endpoint. The answer waits until a run has ended
 // or the wait of the poll is over.
 func (f *fleet) poll(n *simInstance, poll owner.Poll) {
@@ -85,32 +102,51 @@
 		if replied {
 			return
 		}
-		replied = true
 		r.SentAt = sent
-		f.at(f.delay(), func() { f.deliver(n, p, func() { f.apply(n, n.core.HandlePollResult(f.clock(n), &r)) }) })
+		extra := time.Duration(0)
+		if r.Reply != owner.Unknown {
+			extra = f.callDelays[[2]int{n.index, s.index}]
+		}
+		replied = extra == 0 // a delayed answer may arrive after the timeout
+		f.at(f.delay()+extra, func() {
+			if extra > 0 && replied {
+				return
+			}
+			replied = true
+			f.deliver(n, p, func() {
+				f.tracker.recordPoll(f, n, s, &r)
+				f.apply(n, n.core.HandlePollResult(f.clock(n), &r))
+			})
+		})
 	}
 	if s.down && s.refuses {
 		reply(owner.PollResult{Call: poll.Number, Reply: owner.ConnectionRefused})
 		return
 	}
-	f.at(poll.Wait+callTimeout, func() { reply(owner.PollResult{Call: poll.Number, Reply: owner.Unknown}) })
+	f.tracker.recordPollSent(f, n, s)
+	timeout := callTimeout
+	if f.learnedTimeouts {
+		timeout = poll.Timeout
+	}
+	f.at(poll.Wait+timeout, func() { reply(owner.PollResult{Call: poll.Number, Reply: owner.Unknown}) })
 	if !f.reaches(n, s) {
 		return
 	}
-	f.at(f.delay(), func() {
+	f.at(f.callDelay(n, s), func() {
 		if !f.reaches(n, s) {
 			return
 		}
 		r := s.fake.Poll(f.now, poll)
+		f.tracker.recordLease(f, n, s, r.Reply, poll.LeaseUntil)
 		f.scheduleEnd(s)
 		if r.Reply != owner.OK || s.fake.HasUnacknowledged() || poll.Wait == 0 {
-			if f.reaches(n, s) && !f.chance(s.lostShare) {
+			if f.reaches(n, s) && !f.chance(s.lostShare) && !f.answerCuts[[2]int{n.index, s.index}] {
 				reply(r)
 			}
 			return
 		}
 		finish := func() {
-			if f.reaches(n, s) {
+			if f.reaches(n, s) && !f.answerCuts[[2]int{n.index, s.index}] {
 				reply(s.fake.FinishPoll(f.now, poll))
 			}
 		}
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -65,6 +65,17 @@
 	storeCut bool
 	// links maps the index of each linked instance to its process.
 	links map[int]ident.Process
+	// callersCut is set while callers cannot reach the instance. Their channels
+	// hang.
+	callersCut bool
+	// clockStep is how far the time of day is off on the machine, and
+	// clockOffset what it was at the start of the process.
+	clockStep, clockOffset time.Duration
+	// highestSeen holds the highest incarnation of each other instance that the
+	// process has linked to. It refuses links to lower ones, as adapter/peer does.
+	highestSeen map[int]ident.Incarnation
+	// unlistedUntil is until when the store lacks the instance.
+	unlistedUntil time.Time
 }
 
 // simEndpoint is a fake endpoint with its simulated faults.
@@ -82,6 +93,8 @@
 	// storeCutSince is when the endpoint lost its connection to the store, or
 	// zero.
 	storeCutSince time.Time
+	// unlistedUntil is until when the store lacks the endpoint.
+	unlistedUntil time.Time
 	// pendingPolls holds the functions that answer the waiting polls.
 	pendingPolls []func()
 	wakeAt       time.Time
@@ -97,6 +110,8 @@
 	pending        bool
 	// submittedTo is the process that the latest submission went to.
 	submittedTo ident.Process
+	// submittedAt is the time of the latest submission.
+	submittedAt time.Time
 	// deadline is that of each submission, and limit their greatest number.
 	deadline time.Duration
 	limit    int
@@ -119,6 +134,27 @@
 	// other.
 	instanceCuts map[[2]int]bool
 	endpointCuts map[[2]int]bool
+	// oneWayCuts holds the sender and receiver of messages between instances
+	// that do not arrive, and answerCuts the instance and the endpoint whose
+	// answers do not. callDelays holds how much later the calls of an instance
+	// to an endpoint and their answers arrive.
+	oneWayCuts, answerCuts map[[2]int]bool
+	callDelays             map[[2]int]time.Duration
+	// lapsedShare is the share of entries that lapse in an outage of the store.
+	// They are back within relistTime of its return.
+	lapsedShare float64
+	// learnedTimeouts makes calls time out when the instance says so, and not
+	// after callTimeout.
+	learnedTimeouts bool
+	// longest is the longest duration of a task, and shortest the shortest.
+	shortest, longest time.Duration
+	// cpu bounds what a task needs, and jobDeadline is that of new jobs.
+	minCPU, cpuRange int64
+	jobDeadline      time.Duration
+	// tracker, unless it is nil, records what is reported of a task that runs
+	// twice.
+	tracker      *tracker
+	dataCentres  int
 	storeDown    bool
 	storeUpSince time.Time
 	// lastFaultAt is when an instance, a link or a path to an endpoint last had
@@ -167,8 +203,15 @@
 // newFleet returns a fleet whose instances can own as many endpoints as strength
 // allows.
 func newFleet(t testing.TB, seed uint64, instances, endpoints int, strength group.Strength) *fleet {
+	return newFleetIn(t, seed, 2, instances, endpoints, strength)
+}
+
+// newFleetIn is newFleet for a number of data centres.
+func newFleetIn(t testing.TB, seed uint64, dataCentres, instances, endpoints int, strength group.Strength) *fleet {
 	f := &fleet{
-		strength: strength, maxSubmissions: 4,
+		strength: strength, maxSubmissions: 4, dataCentres: dataCentres,
+		shortest: 30 * time.Millisecond, longest: 430 * time.Millisecond, minCPU: 8000, cpuRange: 12_000, jobDeadline: deadline,
+		oneWayCuts: map[[2]int]bool{}, answerCuts: map[[2]int]bool{}, callDelays: map[[2]int]time.Duration{},
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
 		instanceCuts: map[[2]int]bool{}, endpointCuts: map[[2]int]bool{}, jobsByID: map[job.ID]*simJob{},
 		running: map[job.Key]map[int]*simEndpoint{}, linkNumbers: map[[2]int]int{},
@@ -178,7 +221,7 @@
 		s.fake = &leased.Endpoint{
 			Entry: owner.Endpoint{
 				ID: ident.EndpointID(fmt.Sprint("e-", i)), Address: fmt.Sprint("e-", i), Service: service,
-				DataCentre: dataCentre(i), Labels: []string{"a", fmt.Sprint("r-", i%2)}, Room: job.Room{CPU: 32_000, Memory: 1000},
+				DataCentre: f.dataCentre(i), Labels: []string{"a", fmt.Sprint("r-", i%2)}, Room: job.Room{CPU: 32_000, Memory: 1000},
 			},
 			MaxLease: time.Second, ClockRate: 0.98 + 0.02*f.rng.Float64(),
 			PlanOf: f.planOf, RoomOf: f.roomOf,
@@ -191,13 +234,15 @@
 		f.endpoints = append(f.endpoints, s)
 	}
 	for i := range instances {
-		f.instances = append(f.instances, &simInstance{index: i, dc: dataCentre(i)})
+		f.instances = append(f.instances, &simInstance{index: i, dc: f.dataCentre(i)})
 		f.boot(f.instances[i])
 	}
 	return f
 }
 
-func dataCentre(i int) ident.DataCentre { return ident.DataCentre(fmt.Sprint("dc-", i%2)) }
+func (f *fleet) dataCentre(i int) ident.DataCentre {
+	return ident.DataCentre(fmt.Sprint("dc-", i%f.dataCentres))
+}
 
 // at schedules run to happen after d.
 func (f *fleet) at(d time.Duration, run func()) {
@@ -232,16 +277,18 @@
 
 // boot starts a new process of the instance.
 func (f *fleet) boot(n *simInstance) {
+	n.clockOffset = n.clockStep
 	n.process = ident.Process{
-		Instance: ident.InstanceID(fmt.Sprint("n-", n.index)), Incarnation: ident.Incarnation(f.now.UnixMicro()) + ident.Incarnation(n.index),
+		Instance: ident.InstanceID(fmt.Sprint("n-", n.index)), Incarnation: ident.Incarnation(f.now.Add(n.clockOffset).UnixMicro()) + ident.Incarnation(n.index),
 	}
 	n.up, n.paused, n.deferred, n.clockLag = true, false, nil, 0
+	n.highestSeen = map[int]ident.Incarnation{}
 	n.requests, n.links = map[home.RequestID]*simJob{}, map[int]ident.Process{}
 	cfg := f.cfg
 	cfg.Leader = leader.Config{Self: n.process, DataCentre: n.dc, Strength: f.strength}
 	cfg.FenceNonce = f.rng.Uint32()
 	var err error
-	n.core, err = dispatcher.New(f.now, cfg, leader.Seniority(f.now.UnixMilli()))
+	n.core, err = dispatcher.New(f.clock(n), cfg, leader.Seniority(f.clock(n).UnixMilli()))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -266,8 +313,15 @@
 	}
 }
 
-// clock returns the time on the monotonic clock of the instance.
-func (f *fleet) clock(n *simInstance) time.Time { return f.now.Add(-n.clockLag) }
+// clock returns the time on the monotonic clock of the instance, which began as
+// the time of day on its machine.
+func (f *fleet) clock(n *simInstance) time.Time { return f.now.Add(n.clockOffset - n.clockLag) }
+
+// clockAt returns what the clock of the instance showed at a simulated time,
+// if it was not suspended since.
+func (f *fleet) clockAt(n *simInstance, at time.Time) time.Time {
+	return at.Add(n.clockOffset - n.clockLag)
+}
 
 func (f *fleet) tick(n *simInstance, p ident.Process) {
 	f.at(25*time.Millisecond, func() {
@@ -292,7 +346,7 @@
 			}
 			var list []leader.Member
 			for _, o := range f.instances {
-				if o.up && !o.storeCut {
+				if o.up && !o.storeCut && !f.now.Before(o.unlistedUntil) {
 					list = append(list, leader.Member{Instance: o.process.Instance, DataCentre: o.dc, Strength: f.strength})
 				}
 			}
@@ -313,7 +367,7 @@
 		f.deliver(n, p, func() {
 			var entries []owner.Endpoint
 			for _, s := range f.endpoints {
-				if !s.down && (s.storeCutSince.IsZero() || f.now.Sub(s.storeCutSince) < entryTTL) {
+				if !s.down && (s.storeCutSince.IsZero() || f.now.Sub(s.storeCutSince) < entryTTL) && !f.now.Before(s.unlistedUntil) {
 					entries = append(entries, s.fake.Entry)
 				}
 			}
@@ -325,6 +379,11 @@
 
 func pair(a, b int) [2]int { return [2]int{min(a, b), max(a, b)} }
 
+// cutOff reports whether messages from one instance do not reach another.
+func (f *fleet) cutOff(from, to int) bool {
+	return f.instanceCuts[pair(from, to)] || f.oneWayCuts[[2]int{from, to}]
+}
+
 // connect links two instances as soon as they can reach each other.
 func (f *fleet) connect(a, b *simInstance) {
 	pa, pb := a.process, b.process
@@ -334,11 +393,14 @@
 			return
 		case a.links[b.index] == pb || b.links[a.index] == pa:
 			return
-		case f.instanceCuts[pair(a.index, b.index)] || a.paused || b.paused || !a.core.MayLink(b.dc) || !b.core.MayLink(a.dc):
+		case a.highestSeen[b.index] > pb.Incarnation || b.highestSeen[a.index] > pa.Incarnation:
+			return
+		case f.cutOff(a.index, b.index) || f.cutOff(b.index, a.index) || a.paused || b.paused || !a.core.MayLink(b.dc) || !b.core.MayLink(a.dc):
 			f.connect(a, b)
 			return
 		}
 		a.links[b.index], b.links[a.index] = pb, pa
+		a.highestSeen[b.index], b.highestSeen[a.index] = pb.Incarnation, pa.Incarnation
 		f.linkNumbers[pair(a.index, b.index)]++
 		f.deliver(a, pa, func() { f.apply(a, a.core.HandleLinkUp(f.clock(a), pb, b.dc)) })
 		f.deliver(b, pb, func() { f.apply(b, b.core.HandleLinkUp(f.clock(b), pa, a.dc)) })
@@ -355,7 +417,7 @@
 	delete(n.links, o.index)
 	np := n.process
 	f.deliver(n, np, func() { f.apply(n, n.core.HandleLinkDown(f.clock(n), p)) })
-	if f.instanceCuts[pair(n.index, o.index)] {
+	if f.cutOff(n.index, o.index) {
 		f.at(3*time.Second, func() { f.breakLink(o, n, np) })
 	} else {
 		f.at(f.delay(), func() { f.breakLink(o, n, np) })
@@ -381,9 +443,14 @@
 			f.poll(n, a)
 		case owner.Start:
 			f.logf("instance %d sends start %v run %d to %v under epoch %d", n.index, a.Key, a.Run, a.Endpoint, a.Fence.Epoch())
-			f.sendCall(n, a.Endpoint, func(s *simEndpoint) owner.CallResult { return f.start(s, a) }, a.Number)
+			f.tracker.recordStart(f, n, a)
+			f.sendCall(n, a.Call, func(s *simEndpoint) owner.CallResult {
+				r := f.start(s, a)
+				f.tracker.recordLease(f, n, s, r.Reply, a.LeaseUntil)
+				return r
+			})
 		case owner.Stop:
-			f.sendCall(n, a.Endpoint, func(s *simEndpoint) owner.CallResult { return s.fake.Stop(f.now, a) }, a.Number)
+			f.sendCall(n, a.Call, func(s *simEndpoint) owner.CallResult { return s.fake.Stop(f.now, a) })
 		case owner.RunEvent:
 			f.logf("instance %d: run %d of %v on %v %v", n.index, a.Run, a.Key, a.Endpoint, a.Event)
 		case home.Answer:
@@ -398,6 +465,7 @@
 				f.divisions++
 			}
 		case dispatcher.OwnerChanged:
+			f.tracker.recordOwner(f, n, a)
 			if a.Own {
 				f.readList(n, n.process)
 			}
@@ -423,7 +491,7 @@
 		}
 		if o.links[n.index] != n.process {
 			// The other side has closed the connection and resets it.
-			if p := s.To; (o.up || !o.powerLost) && !f.instanceCuts[pair(n.index, o.index)] {
+			if p := s.To; (o.up || !o.powerLost) && !f.cutOff(n.index, o.index) && !f.cutOff(o.index, n.index) {
 				f.at(f.delay(), func() { f.breakLink(n, o, p) })
 			}
 			continue
@@ -432,7 +500,7 @@
 			f.slow.send(f, n, o, s)
 			continue
 		}
-		if f.instanceCuts[pair(n.index, o.index)] {
+		if f.cutOff(n.index, o.index) {
 			return
 		}
 		from, to := n.process, s.To
--- a/internal/decide/dispatcher/jobs_test.go
+++ b/internal/decide/dispatcher/jobs_test.go
@@ -20,7 +20,7 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(key.String()))
 	n := h.Sum32()
-	return leased.RunPlan{Duration: time.Duration(30+n%400) * time.Millisecond, Fails: n%97 == 0}
+	return leased.RunPlan{Duration: f.shortest + time.Duration(n%uint32((f.longest-f.shortest)/time.Millisecond))*time.Millisecond, Fails: n%97 == 0}
 }
 
 func (f *fleet) roomOf(key job.Key) job.Room {
@@ -30,10 +30,10 @@
 // newJob adds a random job.
 func (f *fleet) newJob() *simJob {
 	id := job.ID(fmt.Sprintf("j%d", len(f.simJobs)))
-	j := &simJob{spec: job.Spec{ID: id, Payload: string(id)}, deadline: deadline, limit: f.maxSubmissions, completions: map[job.Key]int{}}
+	j := &simJob{spec: job.Spec{ID: id, Payload: string(id)}, deadline: f.jobDeadline, limit: f.maxSubmissions, completions: map[job.Key]int{}}
 	for i := range 1 + f.rng.IntN(2) {
 		s := job.Step{Tasks: 1 + f.rng.IntN(4)}
-		s.Room = job.Room{CPU: 8000 + f.rng.Int64N(12_000), Memory: 64}
+		s.Room = job.Room{CPU: f.minCPU + f.rng.Int64N(f.cpuRange), Memory: 64}
 		s.Estimate = 200 * time.Millisecond
 		if i > 0 {
 			s.After = []int{0}
@@ -57,7 +57,7 @@
 	f.logf("job %s is submitted at instance %d", j.spec.ID, n.index)
 	j.submissions++
 	j.pending = true
-	j.submittedTo = n.process
+	j.submittedTo, j.submittedAt = n.process, f.now
 	n.nextRequest++
 	r := n.nextRequest
 	p := n.process
@@ -88,7 +88,7 @@
 	}
 	f.at(delay, func() {
 		n := f.instances[f.rng.IntN(len(f.instances))]
-		if !n.up {
+		if !n.up || n.callersCut {
 			f.resubmit(j, delay)
 			return
 		}
@@ -105,6 +105,13 @@
 			continue
 		}
 		delete(n.requests, r)
+		if n.callersCut {
+			// The caller waits in vain until its deadline.
+			if j.submittedTo == n.process {
+				f.resubmit(j, resubmitDelay+max(0, j.submittedAt.Add(j.deadline).Sub(f.now)))
+			}
+			continue
+		}
 		j.pending = false
 		j.result = a.Result
 		f.logf("job %s is answered %v at instance %d: %s", j.spec.ID, a.Result, n.index, a.Reason)
@@ -156,7 +163,7 @@
 	step := j.spec.Steps[key.Step]
 	for i, o := range f.running[key] {
 		if !o.down {
-			f.t.Fatalf("%v: task %v run %d starts on endpoint %d while it is running on endpoint %d", now, key, run, s.index, i)
+			f.t.Fatalf("%v: task %v run %d starts on endpoint %d while it is running on endpoint %d%s", now, key, run, s.index, i, f.tracker.explain(f, key, run, s, o))
 		}
 	}
 	if f.running[key] == nil {
@@ -206,7 +213,7 @@
 			return false
 		}
 	}
-	return len(f.instanceCuts) == 0 && len(f.endpointCuts) == 0
+	return len(f.instanceCuts) == 0 && len(f.endpointCuts) == 0 && len(f.oneWayCuts) == 0 && len(f.answerCuts) == 0 && len(f.callDelays) == 0
 }
 
 func (f *fleet) recordEnd(s *simEndpoint, _ time.Time, key job.Key, run int, reason owner.EndReason) {
@@ -231,7 +238,7 @@
 			continue
 		}
 		wait := f.delay()
-		if powerLost || f.instanceCuts[pair(n.index, o.index)] {
+		if powerLost || f.cutOff(n.index, o.index) {
 			wait = 3 * time.Second
 		}
 		f.at(wait, func() { f.breakLink(o, n, p) })
@@ -245,3 +252,20 @@
 	}
 	n.requests = nil
 }
+
+// breakChannelsOf breaks the channels of all callers to the instance, which
+// submit their jobs again. The instance removes their requests if it notices.
+func (f *fleet) breakChannelsOf(n *simInstance, noticed bool) {
+	for _, r := range slices.Sorted(maps.Keys(n.requests)) {
+		j, p := n.requests[r], n.process
+		delete(n.requests, r)
+		if noticed {
+			f.at(f.delay(), func() {
+				f.deliver(n, p, func() { f.apply(n, n.core.RemoveRequest(f.clock(n), j.spec.ID, r)) })
+			})
+		}
+		if j.submittedTo == p {
+			f.resubmit(j, resubmitDelay)
+		}
+	}
+}
--- a/internal/decide/dispatcher/schedule_test.go
+++ b/internal/decide/dispatcher/schedule_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
 	"hornbeamlift.example/hornbeamlift/internal/decide/group"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
@@ -180,18 +181,21 @@
 	}
 }
 
-// partition cuts data centre dc-0 off from the other one and from the store.
-func (f *fleet) partition(d time.Duration) {
-	f.logf("dc-0 is cut off for %v", d)
+// partition cuts data centre dc-0 off from the others and from the store.
+func (f *fleet) partition(d time.Duration) { f.cutDataCentre(f.dataCentre(0), d) }
+
+// cutDataCentre cuts a data centre off from the others and from the store.
+func (f *fleet) cutDataCentre(dc ident.DataCentre, d time.Duration) {
+	f.logf("%v is cut off for %v", dc, d)
 	for _, n := range f.instances {
-		inside := n.dc == dataCentre(0)
+		inside := n.dc == dc
 		for _, o := range f.instances {
 			if inside && o.dc != n.dc {
 				f.cut(n, o, d)
 			}
 		}
 		for _, s := range f.endpoints {
-			if inside != (s.fake.Entry.DataCentre == dataCentre(0)) {
+			if inside != (s.fake.Entry.DataCentre == dc) {
 				c := [2]int{n.index, s.index}
 				f.endpointCuts[c] = true
 				f.at(d, func() { delete(f.endpointCuts, c) })
@@ -203,7 +207,7 @@
 		}
 	}
 	for _, s := range f.endpoints {
-		if s.fake.Entry.DataCentre == dataCentre(0) && s.storeCutSince.IsZero() {
+		if s.fake.Entry.DataCentre == dc && s.storeCutSince.IsZero() {
 			s.storeCutSince = f.now
 			f.at(d, func() { s.storeCutSince = time.Time{} })
 		}
--- a/internal/decide/dispatcher/slow_links_test.go
+++ b/internal/decide/dispatcher/slow_links_test.go
@@ -64,7 +64,7 @@
 // arrive delivers the messages of a channel that are due.
 func (l *slowLinks) arrive(f *fleet, id channelID) {
 	o, link := f.instances[id.to], pair(id.from, id.to)
-	if f.instanceCuts[link] {
+	if f.cutOff(id.from, id.to) {
 		f.at(10*time.Millisecond, func() { l.arrive(f, id) })
 		return
 	}
