Add tests of tasks that run twice after a takeover

Five schedules without chance, one for each way in which TestTakeoverSchedules or reading showed a task that runs at two owners.

- TestResubmittedJobWaitsForUnreachableEndpoint: a new order starts at once, though the owner has not polled the endpoint of the earlier run.
- TestSeriesOfTakeoversKeepsNoOrphanedRun: the same, with a lease that was renewed by an owner in between for a run without a home.
- TestOwnersOnBothSidesOfCut: the same, with a first home and owner that live on the other side of a cut.

--- /dev/null
+++ b/internal/decide/dispatcher/duplicate_run_test.go
@@ -0,0 +1,231 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/decide/group"
+	"hornbeamlift.example/hornbeamlift/internal/decide/home"
+)
+
+// directedFleet is a fleet whose faults a test chooses. One job of one task runs
+// on an endpoint.
+type directedFleet struct {
+	*fleet
+	owner, home *simInstance
+	job         *simJob
+	// endpoint is where the first run of the task is.
+	endpoint *simEndpoint
+}
+
+// newDirectedFleet returns a fleet of six instances in four data centres with
+// an endpoint in each.
+func newDirectedFleet(t *testing.T) *directedFleet {
+	f := &directedFleet{fleet: newFleetIn(t, 1, 4, 6, 4, group.Strength{})}
+	f.tracker = newTracker()
+	f.shortest, f.longest = 2500*time.Millisecond, 2501*time.Millisecond
+	f.minCPU, f.cpuRange, f.jobDeadline = 2000, 1, 4*time.Second
+	f.run(2 * time.Second)
+	f.owner = f.ownerInstance()
+	return f
+}
+
+// startTask submits a job of one task at an instance, and waits until the task
+// runs.
+func (f *directedFleet) startTask(n *simInstance) {
+	f.home = n
+	f.job = f.newJob()
+	f.job.spec.Steps = f.job.spec.Steps[:1]
+	f.job.spec.Steps[0].Tasks, f.job.spec.Steps[0].RequiredLabel = 1, ""
+	f.job.spec.Steps[0].Estimate = 2500 * time.Millisecond
+	f.job.limit = 1 // the test submits it again
+	f.submit(f.home, f.job)
+	f.run(100 * time.Millisecond)
+	for _, s := range f.endpoints {
+		if len(s.fake.Running()) == 1 {
+			f.endpoint = s
+		}
+	}
+	if f.endpoint == nil {
+		f.t.Fatal("the task has not started")
+	}
+}
+
+// other returns an instance that is up and is none of the given ones.
+func (f *directedFleet) other(without ...*simInstance) *simInstance {
+	for _, n := range f.instances {
+		used := !n.up || n == f.home
+		for _, o := range without {
+			used = used || n == o
+		}
+		if !used {
+			return n
+		}
+	}
+	f.t.Fatal("no instance is left")
+	return nil
+}
+
+// awaitRenewal runs until the owner has renewed the lease of the endpoint at
+// least d from now.
+func (f *directedFleet) awaitRenewal(d time.Duration) {
+	f.run(d)
+	for since, end := f.now, f.now.Add(time.Second); f.tracker.leases[f.endpoint.index].at.Before(since); {
+		if f.now.After(end) {
+			f.t.Fatal("the lease is not renewed")
+		}
+		f.run(time.Millisecond)
+	}
+}
+
+// awaitOwner runs until another instance than those before is the owner.
+func (f *directedFleet) awaitOwner(before ...*simInstance) *simInstance {
+	for range 1500 {
+		for _, n := range f.instances {
+			isNew := n.up && !n.paused && n.core.IsOwner()
+			for _, o := range before {
+				isNew = isNew && n != o
+			}
+			if isNew {
+				return n
+			}
+		}
+		f.run(time.Millisecond)
+	}
+	f.t.Fatal("no other instance becomes the owner")
+	return nil
+}
+
+// cutEndpoint keeps the other instances than one from the endpoint.
+func (f *directedFleet) cutEndpoint(except *simInstance, d time.Duration) {
+	for _, n := range f.instances {
+		if n != except {
+			f.setFor(f.endpointCuts, [2]int{n.index, f.endpoint.index}, d, "cannot reach")
+		}
+	}
+}
+
+// submitAgain submits the job again at an instance, and fails if it does not
+// finish. A second run beside the first one fails in checkStart.
+func (f *directedFleet) submitAgain(n *simInstance) {
+	f.job.deadline = 10 * time.Second
+	f.submit(n, f.job)
+	f.run(10 * time.Second)
+	if f.job.result != home.Finished {
+		f.t.Fatalf("job %s is %v", f.job.spec.ID, f.job.result)
+	}
+}
+
+// TestResubmittedJobWaitsForUnreachableEndpoint guards against a task of a new
+// order that starts while a run of an earlier submission goes on, on an endpoint
+// that the owner has not polled since its takeover. The home falls silent, and
+// the owner is killed before it has noticed.
+func TestResubmittedJobWaitsForUnreachableEndpoint(t *testing.T) {
+	f := newDirectedFleet(t)
+	f.startTask(f.other(f.owner))
+	brokenAt := f.now
+	f.kill(f.home, true)
+	f.awaitRenewal(290 * time.Millisecond)
+	f.cutEndpoint(nil, 1200*time.Millisecond)
+	f.kill(f.owner, false)
+	f.awaitOwner(f.owner)
+	f.run(resubmitDelay - f.now.Sub(brokenAt))
+	f.submitAgain(f.ownerInstance())
+}
+
+// TestSeriesOfTakeoversKeepsNoOrphanedRun guards against a task of a new order
+// that starts while a run of an earlier submission goes on, since a new owner
+// has renewed the lease of the run that no home has claimed, and the next owner
+// has not polled the endpoint yet.
+func TestSeriesOfTakeoversKeepsNoOrphanedRun(t *testing.T) {
+	f := newDirectedFleet(t)
+	f.startTask(f.owner)
+	f.awaitRenewal(0)
+	brokenAt := f.now
+	f.cutEndpoint(nil, 880*time.Millisecond)
+	f.kill(f.owner, true)
+	second := f.awaitOwner(f.owner)
+	for f.tracker.leases[f.endpoint.index].by != second.index || f.tracker.leases[f.endpoint.index].at.Before(brokenAt) {
+		f.run(time.Millisecond)
+		if f.now.Sub(brokenAt) > resubmitDelay {
+			t.Fatalf("the second owner does not renew the lease")
+		}
+	}
+	t.Logf("the second owner renews the lease %v after the first one was lost", f.now.Sub(brokenAt))
+	f.cutEndpoint(nil, 1200*time.Millisecond)
+	f.kill(second, false)
+	third := f.awaitOwner(f.owner, second)
+	f.run(resubmitDelay - f.now.Sub(brokenAt))
+	f.submitAgain(third)
+}
+
+// TestOwnersOnBothSidesOfCut guards against a task that runs at two owners that
+// cannot reach each other. The home does not notice that the channel of the
+// caller is broken, since it is cut off from it.
+func TestOwnersOnBothSidesOfCut(t *testing.T) {
+	f := newDirectedFleet(t)
+	f.startTask(f.owner)
+	brokenAt := f.now
+	f.isolate(f.owner, 4*time.Second)
+	f.cutEndpoint(f.owner, 4*time.Second)
+	f.breakChannelsOf(f.home, false)
+	second := f.awaitOwner(f.owner)
+	f.run(resubmitDelay - f.now.Sub(brokenAt))
+	f.submitAgain(second)
+}
+
+// TestPartialListAfterOutages guards against an owner that takes the endpoints
+// of a partial list for all endpoints, and starts a task that was placed again
+// while it runs on another one. An instance starts after an outage of the store
+// in which the entries have lapsed, and becomes the owner after a second one.
+func TestPartialListAfterOutages(t *testing.T) {
+	f := newDirectedFleet(t)
+	f.home = f.other(f.owner)
+	next := f.other(f.owner)
+	f.owner.storeCut = true // it reads its list again when that is whole
+	f.run(10 * time.Millisecond)
+	f.lapse(700 * time.Millisecond)
+	f.at(800*time.Millisecond, func() { f.owner.storeCut = false })
+	f.kill(next, false)
+	f.restart(next)
+	f.isolate(next, 600*time.Millisecond)
+	f.run(3 * time.Second)
+	for _, n := range f.instances {
+		if n != f.owner && n != next {
+			f.kill(n, false) // so that next becomes the owner
+			f.restart(n)
+		}
+	}
+	f.run(4 * time.Second)
+	f.startTask(f.home)
+	f.lapse(3 * time.Second)
+	f.kill(f.owner, false)
+	f.run(6 * time.Second)
+	if f.job.result != home.Finished {
+		t.Fatalf("job %s is %v", f.job.spec.ID, f.job.result)
+	}
+}
+
+// lapse removes the entries of all endpoints but one from the store for some
+// time.
+func (f *directedFleet) lapse(d time.Duration) {
+	for _, s := range f.endpoints[:len(f.endpoints)-1] {
+		s.unlistedUntil = f.now.Add(d)
+	}
+}
+
+// TestResumedOwnerWaitsForHomes guards against an owner that starts a task after
+// a pause for a home that it has not heard since, and that has placed the task
+// at another owner. The data centre of the paused owner is cut off, so that the
+// other owner cannot poll the endpoint.
+func TestResumedOwnerWaitsForHomes(t *testing.T) {
+	f := newDirectedFleet(t)
+	f.startTask(f.other(f.owner))
+	f.job.deadline = 10 * time.Second
+	if f.home.dc == f.owner.dc {
+		t.Fatal("the home is in the data centre of the owner")
+	}
+	f.cutDataCentre(f.owner.dc, 4*time.Second)
+	f.pause(f.owner, 2*time.Second, false)
+	f.run(10 * time.Second)
+}
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -371,6 +371,7 @@
 					entries = append(entries, s.fake.Entry)
 				}
 			}
+			f.logf("instance %d reads a list of %d endpoints", n.index, len(entries))
 			actions, _ := n.core.UpdateEndpoints(f.clock(n), entries)
 			f.apply(n, actions)
 		})
