--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -467,11 +467,13 @@
 			}
 		case dispatcher.OwnerChanged:
 			f.tracker.recordOwner(f, n, a)
+			f.tracker.recordIsolation(n, a.Isolated)
 			if a.Own {
 				f.readList(n, n.process)
 			}
 			f.logf("instance %d follows %v own=%v epoch=%d isolated=%v", n.index, a.Owner.Instance, a.Own, a.Epoch, a.Isolated)
 		case dispatcher.IsolationChanged:
+			f.tracker.recordIsolation(n, a.Isolated)
 			f.logf("instance %d isolated=%v", n.index, a.Isolated)
 		case dispatcher.CloseLink:
 			f.logf("instance %d closes the link to %v", n.index, a.Peer.Instance)
--- a/internal/decide/dispatcher/schedule_test.go
+++ b/internal/decide/dispatcher/schedule_test.go
@@ -16,6 +16,7 @@
 var (
 	seeds    = flag.Int("fleet.seeds", 40, "number of random schedules")
 	seedFlag = flag.Uint64("fleet.seed", 0, "replay the schedule of one seed")
+	fromFlag = flag.Uint64("fleet.from", 1, "first seed of TestTakeoverSchedules")
 )
 
 // failedSeeds are seeds above the usual number that have failed.
@@ -149,6 +150,7 @@
 			return
 		}
 		n.paused = false
+		f.tracker.recordResumed(f, n)
 		deferred := n.deferred
 		n.deferred = nil
 		suspended := time.Duration(0)
--- a/internal/decide/dispatcher/takeover_schedule_test.go
+++ b/internal/decide/dispatcher/takeover_schedule_test.go
@@ -27,7 +27,7 @@
 func TestTakeoverSchedules(t *testing.T) {
 	for name, fault := range takeoverFaults {
 		t.Run(name, func(t *testing.T) {
-			first, last := uint64(1), uint64(*seeds)/8
+			first, last := *fromFlag, *fromFlag+uint64(*seeds)/8-1
 			if *seedFlag != 0 {
 				first, last = *seedFlag, *seedFlag
 			}
@@ -44,10 +44,18 @@
 	}
 }
 
+// dividedFrom is the first seed with which the instances can own only ten of the
+// twelve endpoints, so that the fleet is divided by data centre.
+const dividedFrom = 100_000
+
 // newTakeoverFleet returns a fleet of four data centres whose tasks take up to
 // 1.8 s.
 func newTakeoverFleet(t testing.TB, seed uint64) *fleet {
-	f := newFleetIn(t, seed, 4, 6, 12, group.Strength{})
+	var strength group.Strength
+	if seed >= dividedFrom {
+		strength.Processors = 16
+	}
+	f := newFleetIn(t, seed, 4, 6, 12, strength)
 	f.tracker = newTracker()
 	f.slow = &slowLinks{delays: map[[2]int]time.Duration{}, channels: map[channelID][]transit{}}
 	f.learnedTimeouts = true
--- a/internal/decide/dispatcher/tracker_test.go
+++ b/internal/decide/dispatcher/tracker_test.go
@@ -17,8 +17,12 @@
 	// pollSent and pollAnswered hold, for an instance and an endpoint, when a
 	// poll was sent or answered since the instance became the owner.
 	pollSent, pollAnswered map[[2]int]time.Time
-	starts                 map[startID]sentStart
-	leases                 map[int]leaseRenewal
+	// isolated holds the instances that see themselves in a minority, and
+	// resumedAt when each was last resumed after a pause.
+	isolated  map[int]bool
+	resumedAt map[int]time.Time
+	starts    map[startID]sentStart
+	leases    map[int]leaseRenewal
 }
 
 // startID identifies a run on an endpoint.
@@ -43,7 +47,7 @@
 func newTracker() *tracker {
 	return &tracker{
 		activatedAt: map[int]time.Time{}, pollSent: map[[2]int]time.Time{}, pollAnswered: map[[2]int]time.Time{},
-		starts: map[startID]sentStart{}, leases: map[int]leaseRenewal{},
+		isolated: map[int]bool{}, resumedAt: map[int]time.Time{}, starts: map[startID]sentStart{}, leases: map[int]leaseRenewal{},
 	}
 }
 
@@ -57,6 +61,18 @@
 	}
 }
 
+func (k *tracker) recordIsolation(n *simInstance, isolated bool) {
+	if k != nil {
+		k.isolated[n.index] = isolated
+	}
+}
+
+func (k *tracker) recordResumed(f *fleet, n *simInstance) {
+	if k != nil {
+		k.resumedAt[n.index] = f.now
+	}
+}
+
 func (k *tracker) recordStart(f *fleet, n *simInstance, a owner.Start) {
 	if k != nil {
 		k.starts[startID{key: a.Key, run: a.Run, endpoint: f.endpointByID(a.Endpoint).index}] = sentStart{by: n.index, at: f.now}
@@ -89,12 +105,15 @@
 		return ""
 	}
 	second := k.starts[startID{key: key, run: run, endpoint: s.index}]
-	first, firstRun := sentStart{by: -1}, 0
+	first, firstRun, resumedOwner := sentStart{by: -1}, 0, ""
 	for id, start := range k.starts {
 		if id.key == key && id.endpoint == o.index && start.at.After(first.at) {
 			first, firstRun = start, id.run
 		}
 	}
+	if resumed := k.resumedAt[first.by]; !resumed.IsZero() && first.at.Sub(resumed) < time.Second {
+		resumedOwner = "/resumed-owner"
+	}
 	order, knowledge := "new", "polled"
 	if run >= 100 {
 		order = "placed-again"
@@ -103,6 +122,8 @@
 	switch {
 	case first.by == second.by && k.activatedAt[second.by].Before(first.at):
 		knowledge = "same-owner"
+	case k.pollSent[at].Before(k.activatedAt[second.by]) && k.isolated[second.by]:
+		knowledge = "not-owned"
 	case k.pollSent[at].Before(k.activatedAt[second.by]):
 		knowledge = "not-known"
 	case k.pollAnswered[at].IsZero():
@@ -115,9 +136,9 @@
 		return fmt.Sprint(f.now.Sub(t).Round(time.Millisecond), " ago")
 	}
 	lease := k.leases[o.index]
-	return fmt.Sprintf("\ncause %s/%s: run %d from instance %d, sent %s; run %d from instance %d, sent %s, owner since %s; "+
+	return fmt.Sprintf("\ncause %s/%s%s: run %d from instance %d, sent %s; run %d from instance %d, sent %s, owner since %s; "+
 		"it last polled endpoint %d %s, answered %s, and can reach it: %v; its lease was last renewed by instance %d %s; submissions %d, last %s",
-		order, knowledge, firstRun, first.by, ago(first.at), run, second.by, ago(second.at), ago(k.activatedAt[second.by]),
+		order, knowledge, resumedOwner, firstRun, first.by, ago(first.at), run, second.by, ago(second.at), ago(k.activatedAt[second.by]),
 		o.index, ago(k.pollSent[at]), ago(k.pollAnswered[at]), f.reaches(f.instances[second.by], o), lease.by, ago(lease.at),
 		f.jobsByID[key.Job].submissions, ago(f.jobsByID[key.Job].submittedAt))
 }
