Let callers of a machine without power wait, and test undelivered stops

A machine that loses power sends no resets, so that its callers wait until their deadline before they submit again. The schedules let them submit 1.3 s after the loss, which is earlier than a caller can. The directed tests now use callers that give up just after the loss.

--- a/internal/decide/dispatcher/duplicate_run_test.go
+++ b/internal/decide/dispatcher/duplicate_run_test.go
@@ -22,9 +22,9 @@
 // an endpoint in each.
 func newDirectedFleet(t *testing.T) *directedFleet {
 	f := &directedFleet{fleet: newFleetIn(t, 1, 4, 6, 4, group.Strength{})}
-	f.tracker = newTracker()
-	f.shortest, f.longest = 2500*time.Millisecond, 2501*time.Millisecond
-	f.minCPU, f.cpuRange, f.jobDeadline = 2000, 1, 4*time.Second
+	f.tracker, f.leaveShare, f.learnedTimeouts = newTracker(), 0, true
+	f.shortest, f.longest = 3500*time.Millisecond, 3501*time.Millisecond
+	f.minCPU, f.cpuRange, f.jobDeadline = 2000, 1, 1800*time.Millisecond
 	f.run(2 * time.Second)
 	f.owner = f.ownerInstance()
 	return f
@@ -37,7 +37,7 @@
 	f.job = f.newJob()
 	f.job.spec.Steps = f.job.spec.Steps[:1]
 	f.job.spec.Steps[0].Tasks, f.job.spec.Steps[0].RequiredLabel = 1, ""
-	f.job.spec.Steps[0].Estimate = 2500 * time.Millisecond
+	f.job.spec.Steps[0].Estimate = 1450 * time.Millisecond
 	f.job.limit = 1 // the test submits it again
 	f.submit(f.home, f.job)
 	f.run(100 * time.Millisecond)
@@ -51,6 +51,16 @@
 	}
 }
 
+// loseHome lets the home lose power just before the caller gives up, and returns
+// when the caller does so: until then its channel hangs.
+func (f *directedFleet) loseHome() time.Time {
+	brokenAt := f.job.submittedAt.Add(f.job.deadline)
+	f.run(brokenAt.Sub(f.now) - 20*time.Millisecond)
+	f.kill(f.home, true)
+	f.run(20 * time.Millisecond)
+	return brokenAt
+}
+
 // other returns an instance that is up and is none of the given ones.
 func (f *directedFleet) other(without ...*simInstance) *simInstance {
 	for _, n := range f.instances {
@@ -118,45 +128,76 @@
 
 // TestResubmittedJobWaitsForUnreachableEndpoint guards against a task of a new
 // order that starts while a run of an earlier submission goes on, on an endpoint
-// that the owner has not polled since its takeover. The home falls silent, and
-// the owner is killed before it has noticed.
+// that the owner has not polled since its takeover. The home loses power, and
+// the owner is killed before it has noticed. The phase of the owner's polls
+// decides how late it renews the lease.
 func TestResubmittedJobWaitsForUnreachableEndpoint(t *testing.T) {
-	f := newDirectedFleet(t)
-	f.startTask(f.other(f.owner))
-	brokenAt := f.now
-	f.kill(f.home, true)
-	f.awaitRenewal(290 * time.Millisecond)
-	f.cutEndpoint(nil, 1200*time.Millisecond)
-	f.kill(f.owner, false)
-	f.awaitOwner(f.owner)
-	f.run(resubmitDelay - f.now.Sub(brokenAt))
-	f.submitAgain(f.ownerInstance())
+	for phase := time.Duration(0); phase < 300*time.Millisecond; phase += 20 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			f := newDirectedFleet(t)
+			f.jobDeadline += phase
+			f.startTask(f.other(f.owner))
+			brokenAt := f.loseHome()
+			f.awaitRenewal(270 * time.Millisecond)
+			f.cutEndpoint(nil, 1200*time.Millisecond)
+			f.kill(f.owner, false)
+			second := f.awaitOwner(f.owner)
+			f.run(resubmitDelay - f.now.Sub(brokenAt))
+			f.submitAgain(second)
+		})
+	}
 }
 
 // TestSeriesOfTakeoversKeepsNoOrphanedRun guards against a task of a new order
-// that starts while a run of an earlier submission goes on, since a new owner
-// has renewed the lease of the run that no home has claimed, and the next owner
-// has not polled the endpoint yet.
+// that starts while a run of an earlier submission goes on. The home, which owns
+// the endpoints, loses power. Each owner after it renews the lease of the run
+// that no home claims, and is killed before it stops the run. The last one cannot
+// reach the endpoint.
 func TestSeriesOfTakeoversKeepsNoOrphanedRun(t *testing.T) {
 	f := newDirectedFleet(t)
 	f.startTask(f.owner)
-	f.awaitRenewal(0)
-	brokenAt := f.now
-	f.cutEndpoint(nil, 880*time.Millisecond)
-	f.kill(f.owner, true)
-	second := f.awaitOwner(f.owner)
-	for f.tracker.leases[f.endpoint.index].by != second.index || f.tracker.leases[f.endpoint.index].at.Before(brokenAt) {
-		f.run(time.Millisecond)
-		if f.now.Sub(brokenAt) > resubmitDelay {
-			t.Fatalf("the second owner does not renew the lease")
+	brokenAt := f.loseHome()
+	lost := []*simInstance{f.owner}
+	for range 3 {
+		n := f.awaitOwner(lost...)
+		f.run(250 * time.Millisecond)
+		if len(lost) == 3 {
+			f.cutEndpoint(nil, time.Second)
 		}
+		f.kill(n, false)
+		lost = append(lost, n)
 	}
-	t.Logf("the second owner renews the lease %v after the first one was lost", f.now.Sub(brokenAt))
-	f.cutEndpoint(nil, 1200*time.Millisecond)
-	f.kill(second, false)
-	third := f.awaitOwner(f.owner, second)
+	last := f.awaitOwner(lost...)
 	f.run(resubmitDelay - f.now.Sub(brokenAt))
-	f.submitAgain(third)
+	f.submitAgain(last)
+}
+
+// TestUndeliveredStopRenewsNoLease guards against a task of a new order that
+// starts while a run of an earlier submission goes on. The owner could not
+// deliver the stop of that run while it could not reach the endpoint, renewed
+// the lease as soon as it reached it again, and was killed. The next owner
+// cannot reach the endpoint. How long the cut lasts decides whether a renewal or
+// the stop arrives first.
+func TestUndeliveredStopRenewsNoLease(t *testing.T) {
+	for cut := 250 * time.Millisecond; cut < 450*time.Millisecond; cut += 10 * time.Millisecond {
+		t.Run(cut.String(), func(t *testing.T) {
+			f := newDirectedFleet(t)
+			f.startTask(f.other(f.owner))
+			brokenAt := f.now
+			f.setFor(f.endpointCuts, [2]int{f.owner.index, f.endpoint.index}, cut, "cannot reach")
+			f.breakChannelsOf(f.home, true)
+			f.run(cut)
+			f.awaitRenewal(0)
+			if len(f.endpoint.fake.Running()) == 0 {
+				return // the stop came first
+			}
+			f.cutEndpoint(nil, 1200*time.Millisecond)
+			f.kill(f.owner, false)
+			second := f.awaitOwner(f.owner)
+			f.run(resubmitDelay - f.now.Sub(brokenAt))
+			f.submitAgain(second)
+		})
+	}
 }
 
 // TestOwnersOnBothSidesOfCut guards against a task that runs at two owners that
@@ -164,6 +205,7 @@
 // caller is broken, since it is cut off from it.
 func TestOwnersOnBothSidesOfCut(t *testing.T) {
 	f := newDirectedFleet(t)
+	f.jobDeadline = 10 * time.Second
 	f.startTask(f.owner)
 	brokenAt := f.now
 	f.isolate(f.owner, 4*time.Second)
@@ -180,6 +222,7 @@
 // in which the entries have lapsed, and becomes the owner after a second one.
 func TestPartialListAfterOutages(t *testing.T) {
 	f := newDirectedFleet(t)
+	f.jobDeadline = 10 * time.Second
 	f.home = f.other(f.owner)
 	next := f.other(f.owner)
 	f.owner.storeCut = true // it reads its list again when that is whole
@@ -220,8 +263,8 @@
 // other owner cannot poll the endpoint.
 func TestResumedOwnerWaitsForHomes(t *testing.T) {
 	f := newDirectedFleet(t)
+	f.jobDeadline = 10 * time.Second
 	f.startTask(f.other(f.owner))
-	f.job.deadline = 10 * time.Second
 	if f.home.dc == f.owner.dc {
 		t.Fatal("the home is in the data centre of the owner")
 	}
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -140,9 +140,11 @@
 	// to an endpoint and their answers arrive.
 	oneWayCuts, answerCuts map[[2]int]bool
 	callDelays             map[[2]int]time.Duration
-	// lapsedShare is the share of entries that lapse in an outage of the store.
-	// They are back within relistTime of its return.
-	lapsedShare float64
+	// leaveShare is the share of callers that leave before the answer.
+	leaveShare float64
+	// silentPowerLoss makes callers wait until their deadline after a loss of
+	// power: their channels hang.
+	silentPowerLoss bool
 	// learnedTimeouts makes calls time out when the instance says so, and not
 	// after callTimeout.
 	learnedTimeouts bool
@@ -209,7 +211,7 @@
 // newFleetIn is newFleet for a number of data centres.
 func newFleetIn(t testing.TB, seed uint64, dataCentres, instances, endpoints int, strength group.Strength) *fleet {
 	f := &fleet{
-		strength: strength, maxSubmissions: 4, dataCentres: dataCentres,
+		strength: strength, maxSubmissions: 4, leaveShare: 0.05, dataCentres: dataCentres,
 		shortest: 30 * time.Millisecond, longest: 430 * time.Millisecond, minCPU: 8000, cpuRange: 12_000, jobDeadline: deadline,
 		oneWayCuts: map[[2]int]bool{}, answerCuts: map[[2]int]bool{}, callDelays: map[[2]int]time.Duration{},
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
@@ -451,6 +453,7 @@
 				return r
 			})
 		case owner.Stop:
+			f.logf("instance %d sends stop %v run %d to %v", n.index, a.Key, a.Run, a.Endpoint)
 			f.sendCall(n, a.Call, func(s *simEndpoint) owner.CallResult { return s.fake.Stop(f.now, a) })
 		case owner.RunEvent:
 			f.logf("instance %d: run %d of %v on %v %v", n.index, a.Run, a.Key, a.Endpoint, a.Event)
--- a/internal/decide/dispatcher/jobs_test.go
+++ b/internal/decide/dispatcher/jobs_test.go
@@ -64,7 +64,7 @@
 	n.requests[r] = j
 	settings := home.RouteSettings{Service: service, Attempts: 2, Stretch: 2, Latency: 100 * time.Millisecond}
 	f.deliver(n, p, func() { f.apply(n, n.core.Submit(f.clock(n), r, j.spec, settings, j.deadline)) })
-	if f.chance(0.05) {
+	if f.chance(f.leaveShare) {
 		f.at(time.Duration(f.rng.Int64N(int64(time.Second))), func() {
 			if n.process != p || n.requests[r] != j {
 				return
@@ -247,7 +247,11 @@
 	for _, r := range slices.Sorted(maps.Keys(n.requests)) {
 		// A caller waits only for its latest submission.
 		if j := n.requests[r]; j.submittedTo == p {
-			f.resubmit(j, resubmitDelay)
+			wait := resubmitDelay
+			if powerLost && f.silentPowerLoss {
+				wait += max(0, j.submittedAt.Add(j.deadline).Sub(f.now))
+			}
+			f.resubmit(j, wait)
 		}
 	}
 	n.requests = nil
--- a/internal/decide/dispatcher/takeover_schedule_test.go
+++ b/internal/decide/dispatcher/takeover_schedule_test.go
@@ -58,7 +58,7 @@
 	f := newFleetIn(t, seed, 4, 6, 12, strength)
 	f.tracker = newTracker()
 	f.slow = &slowLinks{delays: map[[2]int]time.Duration{}, channels: map[channelID][]transit{}}
-	f.learnedTimeouts = true
+	f.learnedTimeouts, f.silentPowerLoss = true, true
 	f.shortest, f.longest = 60*time.Millisecond, 1800*time.Millisecond
 	f.minCPU, f.cpuRange, f.jobDeadline = 2000, 4000, 4*time.Second
 	f.run(time.Second)
--- a/internal/decide/dispatcher/tracker_test.go
+++ b/internal/decide/dispatcher/tracker_test.go
@@ -94,6 +94,7 @@
 func (k *tracker) recordLease(f *fleet, n *simInstance, s *simEndpoint, reply owner.Reply, until owner.EndpointTime) {
 	if k != nil && reply == owner.OK && until > 0 {
 		k.leases[s.index] = leaseRenewal{by: n.index, at: f.now}
+		f.logf("instance %d renews the lease of endpoint %d", n.index, s.index)
 	}
 }
 
