Test owners that pause repeatedly while they are cut off

leader.View.Tick moves the times at which peers were last heard by each gap of more than 240 ms. An owner that is cut off therefore notices the loss of its homes later by the sum of its pauses, and keeps the leases of their tasks, while the other owner counts on 1.7 s in all. Three schedules show it: a pause of 2 s, four of 0.7 s, and a process that stalls for 0.29 s at a time, for which Core.HandlePause is not called. TestTakeoverSchedules draws such owners, too.

--- a/internal/decide/dispatcher/duplicate_run_test.go
+++ b/internal/decide/dispatcher/duplicate_run_test.go
@@ -257,18 +257,34 @@
 	}
 }
 
-// TestResumedOwnerWaitsForHomes guards against an owner that starts a task after
-// a pause for a home that it has not heard since, and that has placed the task
-// at another owner. The data centre of the paused owner is cut off, so that the
-// other owner cannot poll the endpoint.
+// TestResumedOwnerWaitsForHomes guards against an owner that starts or keeps
+// tasks after pauses for a home that it has not heard since, and that has placed
+// them at another owner. The data centre of the paused owner is cut off, so that
+// the other owner cannot poll the endpoint.
 func TestResumedOwnerWaitsForHomes(t *testing.T) {
-	f := newDirectedFleet(t)
-	f.jobDeadline = 10 * time.Second
-	f.startTask(f.other(f.owner))
-	if f.home.dc == f.owner.dc {
-		t.Fatal("the home is in the data centre of the owner")
+	tests := map[string]struct {
+		pause time.Duration
+		times int
+	}{
+		"one pause":      {2 * time.Second, 1},
+		"several pauses": {700 * time.Millisecond, 4},
+		// Such a pause is too short for Core.HandlePause.
+		"slow process": {290 * time.Millisecond, 10},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newDirectedFleet(t)
+			f.jobDeadline = 10 * time.Second
+			f.startTask(f.other(f.owner))
+			if f.home.dc == f.owner.dc {
+				t.Fatal("the home is in the data centre of the owner")
+			}
+			f.cutDataCentre(f.owner.dc, 4*time.Second)
+			for range tt.times {
+				f.pause(f.owner, tt.pause, false)
+				f.run(tt.pause + 40*time.Millisecond)
+			}
+			f.run(10 * time.Second)
+		})
 	}
-	f.cutDataCentre(f.owner.dc, 4*time.Second)
-	f.pause(f.owner, 2*time.Second, false)
-	f.run(10 * time.Second)
 }
--- a/internal/decide/dispatcher/takeover_schedule_test.go
+++ b/internal/decide/dispatcher/takeover_schedule_test.go
@@ -18,6 +18,7 @@
 	"message-order":      (*fleet).slowOrReset,
 	"broken-channels":    (*fleet).breakChannels,
 	"half-open-channels": (*fleet).halfOpenChannels,
+	"slow-owners":        (*fleet).slowOwner,
 }
 
 // TestTakeoverSchedules guards against a task that runs twice at the same time
@@ -316,3 +317,25 @@
 	}
 	f.disturbCalls()
 }
+
+// slowOwner cuts the owner off from the other instances and lets its process
+// pause again and again.
+func (f *fleet) slowOwner() {
+	n := f.ownerInstance()
+	d := f.between(time.Second, 4*time.Second)
+	if f.chance(0.5) {
+		f.cutDataCentre(n.dc, d)
+	} else {
+		f.isolate(n, d)
+		for _, s := range f.endpoints {
+			if f.chance(0.5) {
+				f.setFor(f.endpointCuts, [2]int{n.index, s.index}, d, "cannot reach")
+			}
+		}
+	}
+	for at := time.Duration(0); at < d; {
+		pause := f.between(200*time.Millisecond, time.Second)
+		f.at(at, func() { f.pause(n, pause, false) })
+		at += pause + f.between(10*time.Millisecond, 100*time.Millisecond)
+	}
+}
