--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -65,6 +65,17 @@
 	storeCut bool
 	// links maps the index of each linked instance to its process.
 	links map[int]ident.Process
+	// callersCut is set while callers cannot reach the instance. Their channels
+	// hang.
+	callersCut bool
+	// clockStep is how far the time of day is off on the machine, and
+	// clockOffset what it was at the start of the process.
+	clockStep, clockOffset time.Duration
+	// highestSeen holds the highest incarnation of each other instance that the
+	// process has linked to. It refuses links to lower ones, as adapter/peer does.
+	highestSeen map[int]ident.Incarnation
+	// unlistedUntil is until when the store lacks the instance.
+	unlistedUntil time.Time
 }
 
 // simEndpoint is a fake endpoint with its simulated faults.
@@ -82,6 +93,8 @@
 	// storeCutSince is when the endpoint lost its connection to the store, or
 	// zero.
 	storeCutSince time.Time
+	// unlistedUntil is until when the store lacks the endpoint.
+	unlistedUntil time.Time
 	// pendingPolls holds the functions that answer the waiting polls.
 	pendingPolls []func()
 	wakeAt       time.Time
@@ -97,6 +110,8 @@
 	pending        bool
 	// submittedTo is the process that the latest submission went to.
 	submittedTo ident.Process
+	// submittedAt is the time of the latest submission.
+	submittedAt time.Time
 	// deadline is that of each submission, and limit their greatest number.
 	deadline time.Duration
 	limit    int
@@ -119,6 +134,29 @@
 	// other.
 	instanceCuts map[[2]int]bool
 	endpointCuts map[[2]int]bool
+	// oneWayCuts holds the sender and receiver of messages between instances
+	// that do not arrive, and answerCuts the instance and the endpoint whose
+	// answers do not. callDelays holds how much later the calls of an instance
+	// to an endpoint and their answers arrive.
+	oneWayCuts, answerCuts map[[2]int]bool
+	callDelays             map[[2]int]time.Duration
+	// leaveShare is the share of callers that leave before the answer.
+	leaveShare float64
+	// silentPowerLoss makes callers wait until their deadline after a loss of
+	// power: their channels hang.
+	silentPowerLoss bool
+	// learnedTimeouts makes calls time out when the instance says so, and not
+	// after callTimeout.
+	learnedTimeouts bool
+	// longest is the longest duration of a task, and shortest the shortest.
+	shortest, longest time.Duration
+	// cpu bounds what a task needs, and jobDeadline is that of new jobs.
+	minCPU, cpuRange int64
+	jobDeadline      time.Duration
+	// tracker, unless it is nil, records what is reported of a task that runs
+	// twice.
+	tracker      *tracker
+	dataCentres  int
 	storeDown    bool
 	storeUpSince time.Time
 	// lastFaultAt is when an instance, a link or a path to an endpoint last had
@@ -167,8 +205,15 @@
 // newFleet returns a fleet whose instances can own as many endpoints as strength
 // allows.
 func newFleet(t testing.TB, seed uint64, instances, endpoints int, strength group.Strength) *fleet {
+	return newFleetIn(t, seed, 2, instances, endpoints, strength)
+}
+
+// newFleetIn is newFleet for a number of data centres.
+func newFleetIn(t testing.TB, seed uint64, dataCentres, instances, endpoints int, strength group.Strength) *fleet {
 	f := &fleet{
-		strength: strength, maxSubmissions: 4,
+		strength: strength, maxSubmissions: 4, leaveShare: 0.05, dataCentres: dataCentres,
+		shortest: 30 * time.Millisecond, longest: 430 * time.Millisecond, minCPU: 8000, cpuRange: 12_000, jobDeadline: deadline,
+		oneWayCuts: map[[2]int]bool{}, answerCuts: map[[2]int]bool{}, callDelays: map[[2]int]time.Duration{},
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
 		instanceCuts: map[[2]int]bool{}, endpointCuts: map[[2]int]bool{}, jobsByID: map[job.ID]*simJob{},
 		running: map[job.Key]map[int]*simEndpoint{}, linkNumbers: map[[2]int]int{},
@@ -178,7 +223,7 @@
 		s.fake = &leased.Endpoint{
 			Entry: owner.Endpoint{
 				ID: ident.EndpointID(fmt.Sprint("e-", i)), Address: fmt.Sprint("e-", i), Service: service,
-				DataCentre: dataCentre(i), Labels: []string{"a", fmt.Sprint("r-", i%2)}, Room: job.Room{CPU: 32_000, Memory: 1000},
+				DataCentre: f.dataCentre(i), Labels: []string{"a", fmt.Sprint("r-", i%2)}, Room: job.Room{CPU: 32_000, Memory: 1000},
 			},
 			MaxLease: time.Second, ClockRate: 0.98 + 0.02*f.rng.Float64(),
 			PlanOf: f.planOf, RoomOf: f.roomOf,
@@ -191,13 +236,15 @@
 		f.endpoints = append(f.endpoints, s)
 	}
 	for i := range instances {
-		f.instances = append(f.instances, &simInstance{index: i, dc: dataCentre(i)})
+		f.instances = append(f.instances, &simInstance{index: i, dc: f.dataCentre(i)})
 		f.boot(f.instances[i])
 	}
 	return f
 }
 
-func dataCentre(i int) ident.DataCentre { return ident.DataCentre(fmt.Sprint("dc-", i%2)) }
+func (f *fleet) dataCentre(i int) ident.DataCentre {
+	return ident.DataCentre(fmt.Sprint("dc-", i%f.dataCentres))
+}
 
 // at schedules run to happen after d.
 func (f *fleet) at(d time.Duration, run func()) {
@@ -232,16 +279,18 @@
 
 // boot starts a new process of the instance.
 func (f *fleet) boot(n *simInstance) {
+	n.clockOffset = n.clockStep
 	n.process = ident.Process{
-		Instance: ident.InstanceID(fmt.Sprint("n-", n.index)), Incarnation: ident.Incarnation(f.now.UnixMicro()) + ident.Incarnation(n.index),
+		Instance: ident.InstanceID(fmt.Sprint("n-", n.index)), Incarnation: ident.Incarnation(f.now.Add(n.clockOffset).UnixMicro()) + ident.Incarnation(n.index),
 	}
 	n.up, n.paused, n.deferred, n.clockLag = true, false, nil, 0
+	n.highestSeen = map[int]ident.Incarnation{}
 	n.requests, n.links = map[home.RequestID]*simJob{}, map[int]ident.Process{}
 	cfg := f.cfg
 	cfg.Leader = leader.Config{Self: n.process, DataCentre: n.dc, Strength: f.strength}
 	cfg.FenceNonce = f.rng.Uint32()
 	var err error
-	n.core, err = dispatcher.New(f.now, cfg, leader.Seniority(f.now.UnixMilli()))
+	n.core, err = dispatcher.New(f.clock(n), cfg, leader.Seniority(f.clock(n).UnixMilli()))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -266,8 +315,15 @@
 	}
 }
 
-// clock returns the time on the monotonic clock of the instance.
-func (f *fleet) clock(n *simInstance) time.Time { return f.now.Add(-n.clockLag) }
+// clock returns the time on the monotonic clock of the instance, which began as
+// the time of day on its machine.
+func (f *fleet) clock(n *simInstance) time.Time { return f.now.Add(n.clockOffset - n.clockLag) }
+
+// clockAt returns what the clock of the instance showed at a simulated time,
+// if it was not suspended since.
+func (f *fleet) clockAt(n *simInstance, at time.Time) time.Time {
+	return at.Add(n.clockOffset - n.clockLag)
+}
 
 func (f *fleet) tick(n *simInstance, p ident.Process) {
 	f.at(25*time.Millisecond, func() {
@@ -292,7 +348,7 @@
 			}
 			var list []leader.Member
 			for _, o := range f.instances {
-				if o.up && !o.storeCut {
+				if o.up && !o.storeCut && !f.now.Before(o.unlistedUntil) {
 					list = append(list, leader.Member{Instance: o.process.Instance, DataCentre: o.dc, Strength: f.strength})
 				}
 			}
@@ -313,66 +369,17 @@
 		f.deliver(n, p, func() {
 			var entries []owner.Endpoint
 			for _, s := range f.endpoints {
-				if !s.down && (s.storeCutSince.IsZero() || f.now.Sub(s.storeCutSince) < entryTTL) {
+				if !s.down && (s.storeCutSince.IsZero() || f.now.Sub(s.storeCutSince) < entryTTL) && !f.now.Before(s.unlistedUntil) {
 					entries = append(entries, s.fake.Entry)
 				}
 			}
+			f.logf("instance %d reads a list of %d endpoints", n.index, len(entries))
 			actions, _ := n.core.UpdateEndpoints(f.clock(n), entries)
 			f.apply(n, actions)
 		})
 	})
 }
 
-func pair(a, b int) [2]int { return [2]int{min(a, b), max(a, b)} }
-
-// connect links two instances as soon as they can reach each other.
-func (f *fleet) connect(a, b *simInstance) {
-	pa, pb := a.process, b.process
-	f.at(20*time.Millisecond+f.delay()*20, func() {
-		switch {
-		case a.process != pa || b.process != pb || !a.up || !b.up:
-			return
-		case a.links[b.index] == pb || b.links[a.index] == pa:
-			return
-		case f.instanceCuts[pair(a.index, b.index)] || a.paused || b.paused || !a.core.MayLink(b.dc) || !b.core.MayLink(a.dc):
-			f.connect(a, b)
-			return
-		}
-		a.links[b.index], b.links[a.index] = pb, pa
-		f.linkNumbers[pair(a.index, b.index)]++
-		f.deliver(a, pa, func() { f.apply(a, a.core.HandleLinkUp(f.clock(a), pb, b.dc)) })
-		f.deliver(b, pb, func() { f.apply(b, b.core.HandleLinkUp(f.clock(b), pa, a.dc)) })
-	})
-}
-
-// disconnect ends the link at n to o. The other side notices after a network
-// delay, or after 3 s if the two cannot reach each other.
-func (f *fleet) disconnect(n, o *simInstance) {
-	p, linked := n.links[o.index]
-	if !linked {
-		return
-	}
-	delete(n.links, o.index)
-	np := n.process
-	f.deliver(n, np, func() { f.apply(n, n.core.HandleLinkDown(f.clock(n), p)) })
-	if f.instanceCuts[pair(n.index, o.index)] {
-		f.at(3*time.Second, func() { f.breakLink(o, n, np) })
-	} else {
-		f.at(f.delay(), func() { f.breakLink(o, n, np) })
-	}
-	f.at(50*time.Millisecond, func() { f.connect(n, o) })
-}
-
-// breakLink ends the link at n to process p of o, unless n has linked to a
-// newer process of o.
-func (f *fleet) breakLink(n, o *simInstance, p ident.Process) {
-	if n.up && n.links[o.index] == p {
-		delete(n.links, o.index)
-		f.deliver(n, n.process, func() { f.apply(n, n.core.HandleLinkDown(f.clock(n), p)) })
-		f.connect(n, o)
-	}
-}
-
 // apply carries out the actions that the core of an instance returned.
 func (f *fleet) apply(n *simInstance, actions []dispatcher.Action) {
 	for _, a := range actions {
@@ -381,9 +388,15 @@
 			f.poll(n, a)
 		case owner.Start:
 			f.logf("instance %d sends start %v run %d to %v under epoch %d", n.index, a.Key, a.Run, a.Endpoint, a.Fence.Epoch())
-			f.sendCall(n, a.Endpoint, func(s *simEndpoint) owner.CallResult { return f.start(s, a) }, a.Number)
+			f.tracker.recordStart(f, n, a)
+			f.sendCall(n, a.Call, func(s *simEndpoint) owner.CallResult {
+				r := f.start(s, a)
+				f.tracker.recordLease(f, n, s, r.Reply, a.LeaseUntil)
+				return r
+			})
 		case owner.Stop:
-			f.sendCall(n, a.Endpoint, func(s *simEndpoint) owner.CallResult { return s.fake.Stop(f.now, a) }, a.Number)
+			f.logf("instance %d sends stop %v run %d to %v", n.index, a.Key, a.Run, a.Endpoint)
+			f.sendCall(n, a.Call, func(s *simEndpoint) owner.CallResult { return s.fake.Stop(f.now, a) })
 		case owner.RunEvent:
 			f.logf("instance %d: run %d of %v on %v %v", n.index, a.Run, a.Key, a.Endpoint, a.Event)
 		case home.Answer:
@@ -398,11 +411,14 @@
 				f.divisions++
 			}
 		case dispatcher.OwnerChanged:
+			f.tracker.recordOwner(f, n, a)
+			f.tracker.recordIsolation(n, a.Isolated)
 			if a.Own {
 				f.readList(n, n.process)
 			}
 			f.logf("instance %d follows %v own=%v epoch=%d isolated=%v", n.index, a.Owner.Instance, a.Own, a.Epoch, a.Isolated)
 		case dispatcher.IsolationChanged:
+			f.tracker.recordIsolation(n, a.Isolated)
 			f.logf("instance %d isolated=%v", n.index, a.Isolated)
 		case dispatcher.CloseLink:
 			f.logf("instance %d closes the link to %v", n.index, a.Peer.Instance)
@@ -414,35 +430,3 @@
 		}
 	}
 }
-
-// send delivers a message over a link. Messages of a link arrive in order.
-func (f *fleet) send(n *simInstance, s dispatcher.Send) {
-	for _, o := range f.instances {
-		if n.links[o.index] != s.To {
-			continue
-		}
-		if o.links[n.index] != n.process {
-			// The other side has closed the connection and resets it.
-			if p := s.To; (o.up || !o.powerLost) && !f.instanceCuts[pair(n.index, o.index)] {
-				f.at(f.delay(), func() { f.breakLink(n, o, p) })
-			}
-			continue
-		}
-		if f.slow != nil {
-			f.slow.send(f, n, o, s)
-			continue
-		}
-		if f.instanceCuts[pair(n.index, o.index)] {
-			return
-		}
-		from, to := n.process, s.To
-		// The delay is the same for all messages, which keeps their order.
-		f.at(time.Millisecond, func() {
-			f.deliver(o, to, func() {
-				if o.links[n.index] == from {
-					f.apply(o, o.core.Receive(f.clock(o), from, s.Message))
-				}
-			})
-		})
-	}
-}
