Start new tasks only once a new owner has polled all endpoints

What callers saw: a job whose caller lost its home and submitted it again ran twice at the same time, at two owners, and both runs ended.

Cause: only orders that the same home had placed before waited for polls. The order of a job that comes again through another home looks like that of a new job, and a new owner started it on the first endpoint that had answered, beside a run on an endpoint that it had not polled yet. That the caller waits 1.3 s made it rare and not impossible: a run may outlive its home by 1.7 s.

--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -76,6 +76,10 @@
 	// to rule that out. It covers the time that the other owner takes to notice
 	// that the task's home is lost, plus one lease.
 	ForeignStartDelay time.Duration
+	// ResubmitDelay is the least time after which a caller submits a job again
+	// whose home it has lost. A run of the earlier submission may go on for
+	// ForeignStartDelay from the loss.
+	ResubmitDelay time.Duration
 	// ForeignBackOff is the delay before the next poll of an endpoint that
 	// another owner holds. That poll has a higher fence and tries to acquire
 	// the endpoint.
@@ -129,6 +133,7 @@
 	set(&c.StopRetryDelay, 50*time.Millisecond)
 	set(&c.ClaimGrace, 300*time.Millisecond)
 	set(&c.ForeignStartDelay, 1700*time.Millisecond)
+	set(&c.ResubmitDelay, 1300*time.Millisecond)
 	set(&c.ForeignBackOff, 4*time.Second)
 	set(&c.MissingGrace, 2500*time.Millisecond)
 	set(&c.MissingRetention, 15*time.Second)
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -71,6 +71,7 @@
 		p.heldBack = true
 		return false
 	}
+	p.updateTakeover()
 	return true
 }
 
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -168,18 +168,23 @@
 // absent, nor before notBefore, nor while another owner may have it running:
 // until all endpoints have been polled since foreignStartUntil, if that owner
 // was of the same group and used no endpoint that this one never saw, or
-// Config.ForeignStartDelay has passed. Function polledSince returns the result
-// of allPolledSince.
+// Config.ForeignStartDelay has passed. A task that its home has not placed
+// before may be of a job that was submitted again; see newTaskSafe. Function
+// polledSince returns the result of allPolledSince.
 func (p *Pool) safeToStart(now time.Time, polledSince func() time.Time, t *task) bool {
 	if now.Before(t.notBefore) || p.absentHomes[t.batch.home] {
 		return false
 	}
-	if t.foreignStartUntil.IsZero() || now.Sub(t.foreignStartUntil) >= p.cfg.ForeignStartDelay {
+	since := t.foreignStartUntil
+	if since.IsZero() {
+		return p.newTaskSafe(now, t)
+	}
+	if now.Sub(since) >= p.cfg.ForeignStartDelay {
 		return true
 	}
 	// The other owner may use an endpoint for MissingGrace after it left the list.
-	allKnown := t.foreignStartUntil.Sub(p.knownSince) >= p.cfg.MissingGrace
-	return allKnown && !t.otherGroup && !polledSince().Before(t.foreignStartUntil)
+	allKnown := since.Sub(p.knownSince) >= p.cfg.MissingGrace
+	return allKnown && !t.otherGroup && !polledSince().Before(since)
 }
 
 // sweep polls all held endpoints at once when tasks were placed that another
--- a/internal/decide/owner/ownership.go
+++ b/internal/decide/owner/ownership.go
@@ -15,7 +15,8 @@
 	if fence <= p.fence {
 		fence = p.fence.addEpochs(1)
 	}
-	p.active, p.activatedAt, p.takeoverReported, p.fence, p.owns = true, now, false, fence, owns
+	p.active, p.activatedAt, p.fence, p.owns = true, now, fence, owns
+	p.takenOver, p.takeoverReported = false, false
 	for _, e := range p.sortedEndpoints {
 		e.fence = fence
 	}
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -17,11 +17,12 @@
 type Pool struct {
 	cfg    Config
 	active bool
-	// activatedAt is when the pool last became active. takeoverReported is set
-	// once all known endpoints have been polled since.
-	activatedAt      time.Time
-	takeoverReported bool
-	fence            Fence
+	// activatedAt is when the pool last became active. takenOver is set once no
+	// run of an earlier owner can be unknown; see updateTakeover.
+	// takeoverReported is set once all known endpoints have been polled since.
+	activatedAt                 time.Time
+	takenOver, takeoverReported bool
+	fence                       Fence
 	// resumedAt is when the latest pause of the process ended. pausedUntil is
 	// when the pool may start tasks again after it, on endpoints that were
 	// polled since.
@@ -276,6 +277,7 @@
 		for _, e := range p.sortedEndpoints {
 			p.maintain(now, e)
 		}
+		p.updateTakeover()
 		p.reportTakeover(now)
 		p.expireInherited(now)
 		if now.Sub(p.shedAt) >= shedInterval {
--- a/internal/decide/owner/takeover.go
+++ b/internal/decide/owner/takeover.go
@@ -2,6 +2,38 @@
 
 import "time"
 
+// A run of a task may go on at an earlier owner, or without any, when its job
+// reaches this owner through another home: the caller submits a job again whose
+// home it has lost. Such an order looks like that of a new job. The run shows in
+// the polls of its endpoint. It ends by Config.ForeignStartDelay after the loss
+// of its home, and the order comes Config.ResubmitDelay after that loss at the
+// earliest.
+
+// newTaskSafe reports whether a task may start that its home has not placed
+// before. It may once all known endpoints were polled since the takeover, or
+// when a run of an earlier submission must have ended.
+func (p *Pool) newTaskSafe(now time.Time, t *task) bool {
+	if p.takenOver || now.Sub(p.activatedAt) >= p.cfg.ForeignStartDelay {
+		return true
+	}
+	return now.Sub(t.batch.placedAt) >= p.cfg.ForeignStartDelay-p.cfg.ResubmitDelay
+}
+
+// updateTakeover sets takenOver once no known endpoint is left that may have
+// runs which this owner has not seen. An endpoint that refuses connections has
+// none, since its process has ended.
+func (p *Pool) updateTakeover() {
+	if p.takenOver || len(p.sortedEndpoints) == 0 {
+		return
+	}
+	for _, e := range p.sortedEndpoints {
+		if e.polledAt.Before(p.activatedAt) && !e.refused {
+			return
+		}
+	}
+	p.takenOver = true
+}
+
 // unpolled returns the number of known endpoints that have not been polled since
 // the pool became active.
 func (p *Pool) unpolled() int {
