Remember runs that an owner no longer follows

What callers saw: a task runs twice when its job comes through another home while its earlier run is being stopped on an endpoint that another owner acquires, or while this owner becomes active again.

Cause: yielding an endpoint, and each start and end of an activation, drop the runs from memory. Runs without a task, which are being stopped, left no trace, so that a later order for the task started at once.

A task with such a key waits as for a run of another owner.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -252,7 +252,7 @@
 		c.view.ObserveEpoch(epoch)
 		c.applyPoolActions(now, c.pool.Activate(now, owner.NewFence(epoch, c.cfg.FenceNonce), c.ownershipFilter(now)))
 	case !isOwner && c.pool.Active():
-		c.pool.Deactivate()
+		c.pool.Deactivate(now)
 	case isOwner && (isolated || c.isolated || c.groups.changed):
 		c.pool.SetOwned(c.ownershipFilter(now))
 	}
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -168,14 +168,18 @@
 // absent, nor before notBefore, nor while another owner may have it running:
 // until all endpoints have been polled since foreignStartUntil, if that owner
 // was of the same group and used no endpoint that this one never saw, or
-// Config.ForeignStartDelay has passed. A task that its home has not placed
-// before may be of a job that was submitted again; see newTaskSafe. Function
-// polledSince returns the result of allPolledSince.
+// Config.ForeignStartDelay has passed. The same holds for a run of the task that
+// this owner has forgotten. A task that its home has not placed before may be
+// of a job that was submitted again; see newTaskSafe. Function polledSince
+// returns the result of allPolledSince.
 func (p *Pool) safeToStart(now time.Time, polledSince func() time.Time, t *task) bool {
 	if now.Before(t.notBefore) || p.absentHomes[t.batch.home] {
 		return false
 	}
 	since := t.foreignStartUntil
+	if at := p.forgotten[t.key]; at.After(since) {
+		since = at
+	}
 	if since.IsZero() {
 		return p.newTaskSafe(now, t)
 	}
--- a/internal/decide/owner/ownership.go
+++ b/internal/decide/owner/ownership.go
@@ -11,6 +11,7 @@
 // current runs, homes place their tasks again, and earlier calls that are still
 // in flight are fenced.
 func (p *Pool) Activate(now time.Time, fence Fence, owns func(Endpoint) bool) []Action {
+	p.forgetAll(now)
 	p.clear()
 	if fence <= p.fence {
 		fence = p.fence.addEpochs(1)
@@ -28,8 +29,9 @@
 
 // Deactivate ends the ownership. It does not end the leases: they expire unless
 // another owner renews them.
-func (p *Pool) Deactivate() {
+func (p *Pool) Deactivate(now time.Time) {
 	p.active = false
+	p.forgetAll(now)
 	p.clear()
 }
 
@@ -115,6 +117,7 @@
 	e.nextPoll = now.Add(p.cfg.ForeignBackOff)
 	p.DelayWaiting(now)
 	for _, r := range slices.Clone(e.runs) {
+		p.forget(now, r)
 		if t := r.task; t != nil {
 			p.addRunEvent(now, Yielded, r)
 			p.removeRun(r)
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -55,8 +55,11 @@
 	// inheritedEnds holds the ends of tasks that were done under an earlier
 	// owner and are not placed here yet.
 	inheritedEnds map[job.Key]inheritedEnd
-	inFlight      map[uint64]inFlightCall
-	lastCall      uint64
+	// forgotten holds, for each task of which a run may go on that this pool no
+	// longer follows, since when that is so; see forget.
+	forgotten map[job.Key]time.Time
+	inFlight  map[uint64]inFlightCall
+	lastCall  uint64
 	// unreliableCount is the number of endpoints that recently failed to answer
 	// a poll.
 	unreliableCount int
@@ -116,7 +119,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	p := &Pool{cfg: cfg, endpoints: map[ident.EndpointID]*endpoint{}, crashes: crashMemory{entries: map[job.Key]*crashEntry{}}, absentHomes: map[ident.Process]bool{}, group: Group{Whole: true}}
+	p := &Pool{cfg: cfg, endpoints: map[ident.EndpointID]*endpoint{}, crashes: crashMemory{entries: map[job.Key]*crashEntry{}}, absentHomes: map[ident.Process]bool{}, forgotten: map[job.Key]time.Time{}, group: Group{Whole: true}}
 	p.clear()
 	return p, nil
 }
@@ -280,6 +283,7 @@
 		p.updateTakeover()
 		p.reportTakeover(now)
 		p.expireInherited(now)
+		p.expireForgotten(now)
 		if now.Sub(p.shedAt) >= shedInterval {
 			p.shedAt = now
 			p.expireWaiting(now)
--- a/internal/decide/owner/takeover_test.go
+++ b/internal/decide/owner/takeover_test.go
@@ -74,7 +74,7 @@
 	h.place(home1, order("j", 1, 10_000))
 	lateStart := h.starts[0]
 	h.starts = nil
-	h.pool.Deactivate()
+	h.pool.Deactivate(h.now)
 	h.collect(h.pool.Activate(h.now, owner.NewFence(5, 1), func(owner.Endpoint) bool { return true }))
 	h.polls = h.polls[len(h.polls)-1:]
 	h.answerPolls()
