Do not count a poll whose list of runs was not read

Cause: an answer that another one with a later clock has overtaken counts as a poll of its endpoint, although its list of runs is dropped. A task then starts while the endpoint runs it for another owner, which restarted endpoints make possible.

Change: such an answer does not change when the endpoint was last polled.

TestStalePollDoesNotCount failed before and passes now.

--- a/internal/decide/owner/poll.go
+++ b/internal/decide/owner/poll.go
@@ -108,7 +108,8 @@
 	e.lastIncarnation = result.Incarnation
 	e.updateClock(now, result.Clock)
 	e.ownership, e.fenceAccepted, e.pollFailures, e.fenceStep = ownershipHeld, true, 0, 0
-	if result.SentAt.After(e.polledAt) {
+	// A stale list is not read, so that it does not show what runs.
+	if !stale && result.SentAt.After(e.polledAt) {
 		e.polledAt = result.SentAt
 	}
 	e.nextPoll = now
