Notice lost homes in spite of pauses of the owner

What callers saw: a task goes on, or starts, at an owner that was paused, beside the run of the owner that its home follows by then.

Cause: every gap of more than 0.24 s between two ticks was added to the time at which each peer was last heard. An owner that is paused again and again never noticed that a home is lost, and renewed the leases of its runs in between. After a longer pause it waited for a heartbeat of the homes in a divided fleet only, so that in a fleet cut in two it started waiting tasks 0.15 s after the pause.

After a pause, the tasks of the other instances wait for a new heartbeat of theirs in every fleet. An owner that was in conflict with another one waits 0.85 s instead of 0.65 s, since a gap below 0.3 s does not count as a pause.

--- a/internal/decide/dispatcher/groups.go
+++ b/internal/decide/dispatcher/groups.go
@@ -138,14 +138,12 @@
 	return list
 }
 
-// awaitHomes keeps the pool of a divided fleet from starting tasks of the other
-// instances after a pause, until each has sent a heartbeat that cannot be older
-// than the pause: the callers of an instance that ended meanwhile may have
-// submitted their jobs to another group, whose runs are not seen here.
+// awaitHomes keeps the pool from starting tasks of the other instances after a
+// pause, until each has sent a heartbeat that cannot be older than the pause.
+// Meanwhile they may have placed their tasks at another owner, or ended, so that
+// their callers have submitted the jobs again; its runs are not all seen here
+// after a network partition or in a divided fleet.
 func (c *Core) awaitHomes(now time.Time) {
-	if c.groups.decider.Layout() != group.ByDataCentre {
-		return
-	}
 	c.pauseOverAt = now.Add(pauseGrace)
 	for _, process := range c.view.Peers() {
 		c.pool.SetHomeAbsent(process, true)
--- a/internal/decide/owner/config.go
+++ b/internal/decide/owner/config.go
@@ -51,9 +51,10 @@
 	MaxCallTimeout       time.Duration
 	CongestedCallTimeout time.Duration
 	// OwnerConflictDelay is how long waiting tasks are not started after
-	// another owner was detected or may have been active. It exceeds
-	// HeartbeatTimeout of leader.Config, after which the link to a home counts
-	// as lost.
+	// another owner was detected or may have been active. It exceeds the time
+	// after which the link to a home counts as lost: HeartbeatTimeout of
+	// leader.Config, and dispatcher.PauseLimit for a gap that does not count as
+	// silence of the home.
 	OwnerConflictDelay time.Duration
 	// PollRetryDelay is the delay before the next poll after two failures in a
 	// row. It doubles with each further failure, up to 32 times its value.
@@ -127,7 +128,7 @@
 	set(&c.MinCallTimeout, 40*time.Millisecond)
 	set(&c.MaxCallTimeout, 120*time.Millisecond)
 	set(&c.CongestedCallTimeout, max(400*time.Millisecond, c.MaxCallTimeout))
-	set(&c.OwnerConflictDelay, 650*time.Millisecond)
+	set(&c.OwnerConflictDelay, 850*time.Millisecond)
 	set(&c.PollRetryDelay, 50*time.Millisecond)
 	set(&c.SweepInterval, 100*time.Millisecond)
 	set(&c.StopRetryDelay, 50*time.Millisecond)
