Place tasks at a new owner once the earlier one has released them

What callers saw: a task runs at two owners at the same time, and both runs end, when its home changes its owner while the earlier one goes on.

Cause: a home told the earlier owner by a heartbeat and placed its tasks at the new one at the same moment. The new owner's polls prove that nothing of the earlier one runs, but not that it starts nothing afterwards: if its fence is the higher one, it may acquire an endpoint after the new owner's poll. That the heartbeat came first was a race. Heartbeats also overtake orders, so that an order could arrive after the heartbeat that ended it.

Change: heartbeats carry the number of the sender's latest order, and the number up to which the sender has released the orders of the receiver. An owner drops orders up to the number of a home that follows another owner, also those that are still on the way. The home places its tasks at the new owner when the earlier one has released them, its link is lost, or it has not answered for 0.5 s. Then, as before, the new owner's fence and ForeignStartDelay apply. If the owner that the home follows has dropped its tasks, since the home followed another one for a moment, they are placed again; before, they waited for their deadline.

TestOrderNotOvertakenByHeartbeat failed before (its heartbeat now carries the number of the order, as that of a home does).

--- a/internal/decide/dispatcher/actions.go
+++ b/internal/decide/dispatcher/actions.go
@@ -28,6 +28,8 @@
 				continue
 			}
 			c.pending = append(c.pending, Send{To: a.To, Message: Withdrawal(a.Job)})
+		case home.RequestRelease:
+			c.requestRelease(now, a.From)
 		case home.Answer:
 			c.pending = append(c.pending, a)
 		}
--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -83,6 +83,13 @@
 	// RequestReply makes the receiver answer at once with a heartbeat of its
 	// own.
 	RequestReply bool
+	// LastPlacement is the number of the sender's latest order. A receiver that
+	// the sender does not follow must not start tasks of its orders up to this
+	// one. Heartbeats may overtake orders, so that later ones may arrive first.
+	LastPlacement uint64
+	// Released is the number up to which the sender has released the orders of
+	// the receiver; see home.RequestRelease.
+	Released uint64
 }
 
 // Orders asks the owner to run tasks.
@@ -124,6 +131,9 @@
 	// lostPeers holds, for each process whose link ended or that timed out, the
 	// time at which its tasks are withdrawn.
 	lostPeers map[ident.Process]time.Time
+	// released holds, for each linked process that follows another owner, the
+	// number up to which its orders are not started here.
+	released map[ident.Process]uint64
 	// pauseOverAt is when all that was received during the latest pause of this
 	// process has been handled.
 	pauseOverAt time.Time
@@ -144,7 +154,8 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	c := &Core{cfg: cfg, self: cfg.Leader.Self, jobs: home.New(), lostPeers: map[ident.Process]time.Time{}, list: listing.New(cfg.Listing)}
+	c := &Core{cfg: cfg, self: cfg.Leader.Self, lostPeers: map[ident.Process]time.Time{}, released: map[ident.Process]uint64{}, list: listing.New(cfg.Listing)}
+	c.jobs = home.New(c.linked)
 	c.groups.linked, c.groups.layouts = map[ident.Process]ident.DataCentre{}, map[ident.Process]group.Layout{}
 	var err error
 	if c.view, err = leader.New(now, cfg.Leader, seniority); err != nil {
@@ -292,12 +303,15 @@
 	}
 	for _, process := range to {
 		m.ReadList = slices.Contains(helpers, process)
+		m.Released = c.released[process]
 		c.pending = append(c.pending, Send{To: process, Urgent: true, Message: m})
 	}
 }
 
 func (c *Core) ownHeartbeat(now time.Time) Heartbeat {
-	return Heartbeat{Heartbeat: c.view.OwnHeartbeat(), ListAge: c.list.Age(now), Layout: c.groups.decider.Layout()}
+	return Heartbeat{
+		Heartbeat: c.view.OwnHeartbeat(), ListAge: c.list.Age(now), Layout: c.groups.decider.Layout(), LastPlacement: c.jobs.LastPlacement(),
+	}
 }
 
 // handlePeerLost handles the end of a link or the timeout of a peer. The tasks
@@ -306,7 +320,8 @@
 	c.view.HandleLinkDown(process)
 	delete(c.groups.linked, process)
 	delete(c.groups.layouts, process)
-	c.jobs.HandleLinkDown(process)
+	delete(c.released, process)
+	c.applyJobActions(now, c.jobs.HandleLinkDown(now, process))
 	c.list.HandleLinkDown(process)
 	c.lostPeers[process] = now.Add(grace)
 	c.pool.SetHomeAbsent(process, true)
@@ -347,20 +362,24 @@
 		c.view.HandleHeartbeat(now, from, m.Heartbeat)
 		c.noteHeard(now, from)
 		c.groups.layouts[from] = m.Layout
+		if m.Owner.Instance != "" && m.Owner != c.self {
+			c.releaseOrders(now, from, m.LastPlacement)
+		}
 		if m.RequestReply {
-			c.pending = append(c.pending, Send{To: from, Urgent: true, Message: c.ownHeartbeat(now)})
+			reply := c.ownHeartbeat(now)
+			reply.Released = c.released[from]
+			c.pending = append(c.pending, Send{To: from, Urgent: true, Message: reply})
 		}
 		c.exchangeList(now, from, m)
-		if m.Owner.Instance != "" && m.Owner != c.self {
-			// The sender has placed its tasks at another owner.
-			c.applyPoolActions(now, c.pool.WithdrawTasksOf(now, from))
+		if m.Released > 0 {
+			c.applyJobActions(now, c.jobs.HandleReleased(now, from, m.Released))
 		}
 		// This heartbeat may complete the check; an owner is then chosen.
 		if c.view.CheckingPeers() {
 			return append(c.flush(), c.Tick(now)...)
 		}
 	case Orders:
-		c.applyPoolActions(now, c.pool.Place(now, from, m))
+		c.applyPoolActions(now, c.pool.Place(now, from, c.rejectReleased(from, m)))
 	case Withdrawal:
 		c.applyPoolActions(now, c.pool.Withdraw(now, from, job.ID(m)))
 	case CrashReport:
--- a/internal/decide/dispatcher/twice_test.go
+++ b/internal/decide/dispatcher/twice_test.go
@@ -23,14 +23,16 @@
 
 // ownerCore drives the core of an owner with one peer, the home of its tasks.
 type ownerCore struct {
-	t      *testing.T
-	now    time.Time
-	core   *dispatcher.Core
-	home   ident.Process
-	fake   *leased.Endpoint
-	polls  []owner.Poll
-	starts []owner.Start
-	stops  []owner.Stop
+	t    *testing.T
+	now  time.Time
+	core *dispatcher.Core
+	home ident.Process
+	// lastPlacement is the number of the latest order that the home has sent.
+	lastPlacement uint64
+	fake          *leased.Endpoint
+	polls         []owner.Poll
+	starts        []owner.Start
+	stops         []owner.Stop
 }
 
 func newOwnerCore(t *testing.T) *ownerCore {
@@ -66,7 +68,9 @@
 // heartbeat delivers a heartbeat of the home, which names the process that it
 // follows.
 func (c *ownerCore) heartbeat(follows ident.Process) {
-	m := dispatcher.Heartbeat{Heartbeat: leader.Heartbeat{Seniority: 100, Owner: follows, Followers: 2}, Layout: group.Whole}
+	m := dispatcher.Heartbeat{
+		Heartbeat: leader.Heartbeat{Seniority: 100, Owner: follows, Followers: 2}, Layout: group.Whole, LastPlacement: c.lastPlacement,
+	}
 	if follows.Instance != "n-0" {
 		m.Followers = 0
 	}
@@ -114,6 +118,7 @@
 func TestOrderNotOvertakenByHeartbeat(t *testing.T) {
 	is := is.New(t)
 	c := newOwnerCore(t)
+	c.lastPlacement = 1
 	c.heartbeat(ident.Process{Instance: "n-2", Incarnation: 1})
 	c.collect(c.core.Receive(c.now, c.home, c.order("j", false))) // sent before the heartbeat
 	c.step(25 * time.Millisecond)
--- a/internal/decide/home/completion.go
+++ b/internal/decide/home/completion.go
@@ -130,6 +130,7 @@
 func (t *Table) close(now time.Time, j *openJob, result Result, reason string, retryAfter time.Duration) {
 	delete(t.jobs, j.spec.ID)
 	delete(t.rejectedJobs, j.spec.ID)
+	delete(t.held, j.spec.ID)
 	for _, to := range j.openAt() {
 		t.actions = append(t.actions, Withdraw{To: to, Job: j.spec.ID})
 	}
@@ -205,13 +206,16 @@
 		j := t.jobs[id]
 		t.close(now, j, j.abortResult(), "the deadline passed", 0)
 	}
+	t.expireReleases(now)
 	if len(t.rejectedJobs) > 0 && t.ownerKnown && !now.Before(t.placeAgainAt) {
 		var orders []job.Order
 		for _, id := range slices.Sorted(maps.Keys(t.rejectedJobs)) {
 			orders = append(orders, t.ordersForOwner(now, t.jobs[id])...)
 		}
 		clear(t.rejectedJobs)
-		t.actions = append(t.actions, Place{To: t.owner, Orders: orders})
+		if len(orders) > 0 {
+			t.actions = append(t.actions, Place{To: t.owner, Orders: orders})
+		}
 	}
 	return t.flush()
 }
--- a/internal/decide/home/placement.go
+++ b/internal/decide/home/placement.go
@@ -13,6 +13,9 @@
 type placement struct {
 	number uint64
 	to     ident.Process
+	// released is set once the process does not start the task any more, or
+	// cannot be asked. It may have started it before.
+	released bool
 }
 
 // place records that the task goes to a process with an order.
@@ -28,9 +31,10 @@
 // latest placement, which stays open.
 func (s *taskState) closePlacement(from ident.Process, end *job.TaskEnd) (latest bool) {
 	if n := len(s.placements); end.Placement == 0 && n > 0 {
-		return s.placements[n-1] == placement{number: s.lastPlacement, to: from}
+		last := s.placements[n-1]
+		return last.number == s.lastPlacement && last.to == from
 	}
-	i := slices.Index(s.placements, placement{number: end.Placement, to: from})
+	i := slices.IndexFunc(s.placements, func(p placement) bool { return p.number == end.Placement && p.to == from })
 	if i < 0 {
 		return false
 	}
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -58,7 +58,7 @@
 func (r Result) String() string { return resultNames[r] }
 
 // Action is an effect that the code which uses a Table must carry out: a Place,
-// Withdraw or Answer.
+// Withdraw, RequestRelease or Answer.
 type Action interface{ action() }
 
 // Place places tasks at the owner, that is, asks it to run them.
@@ -194,14 +194,28 @@
 	// job.NotOwner. They are placed again at placeAgainAt.
 	rejectedJobs map[job.ID]bool
 	placeAgainAt time.Time
+	// linked reports whether there is a link to a process.
+	linked func(ident.Process) bool
+	// releases holds the processes that were asked to release tasks, and until
+	// when their answer is awaited. held holds the jobs whose tasks are placed
+	// after that.
+	releases map[ident.Process]time.Time
+	held     map[job.ID]bool
+	// lastPlacementAt is the number of the latest order for each process that
+	// was sent one.
+	lastPlacementAt map[ident.Process]uint64
 	// lastPlacement is the number of the latest order.
 	lastPlacement uint64
 	actions       []Action
 }
 
-// New returns an empty table.
-func New() *Table {
-	return &Table{whole: true, jobs: map[job.ID]*openJob{}, keptResults: map[job.ID]keptResult{}, rejectedJobs: map[job.ID]bool{}}
+// New returns an empty table. The function linked reports whether there is a
+// link to another process.
+func New(linked func(ident.Process) bool) *Table {
+	return &Table{
+		whole: true, jobs: map[job.ID]*openJob{}, keptResults: map[job.ID]keptResult{}, rejectedJobs: map[job.ID]bool{},
+		linked: linked, releases: map[ident.Process]time.Time{}, held: map[job.ID]bool{}, lastPlacementAt: map[ident.Process]uint64{},
+	}
 }
 
 // OpenJobs returns the number of open jobs.
@@ -320,6 +334,7 @@
 func (t *Table) newOrder(now time.Time, j *openJob, step int, indexes []int) job.Order {
 	s := &j.spec.Steps[step]
 	t.lastPlacement++
+	t.lastPlacementAt[t.owner] = t.lastPlacement
 	j.steps[step].placedWhole = j.steps[step].placedWhole || t.whole
 	o := job.Order{
 		Job: j.spec.ID, Step: step, Placement: t.lastPlacement, Indexes: indexes, Service: j.settings.Service, Payload: j.spec.Payload, Needs: s.Needs,
@@ -336,13 +351,15 @@
 
 // SetOwner sets the owner of the endpoints; known is false if there is none.
 // The open tasks of ready steps are placed at a new owner, whether they were
-// placed before or not.
+// placed before or not, once all linked processes that they were placed at have
+// released them.
 func (t *Table) SetOwner(now time.Time, owner ident.Process, known bool) []Action {
 	if known == t.ownerKnown && owner == t.owner {
 		return nil
 	}
 	t.owner, t.ownerKnown = owner, known
 	if known {
+		t.requestReleases(now)
 		var orders []job.Order
 		for _, id := range slices.Sorted(maps.Keys(t.jobs)) {
 			orders = append(orders, t.ordersForOwner(now, t.jobs[id])...)
@@ -356,9 +373,14 @@
 
 // ordersForOwner returns orders for all tasks of ready steps that are not done,
 // whether they were placed before or not. It raises the run numbers of tasks
-// that were placed before.
+// that were placed before. It returns none for a job that another process may
+// still start tasks of, which is held.
 func (t *Table) ordersForOwner(now time.Time, j *openJob) []job.Order {
 	delete(t.rejectedJobs, j.spec.ID)
+	if len(j.unreleased(t.owner)) > 0 {
+		t.held[j.spec.ID] = true
+		return nil
+	}
 	var orders []job.Order
 	for i := range j.steps {
 		s := &j.steps[i]
@@ -399,9 +421,16 @@
 }
 
 // HandleLinkDown records that the link to a process ended. If the process is
-// the owner, nothing is placed until an owner is known again.
-func (t *Table) HandleLinkDown(p ident.Process) {
+// the owner, nothing is placed until an owner is known again. If it was to
+// release tasks, these are not held any longer.
+func (t *Table) HandleLinkDown(now time.Time, p ident.Process) []Action {
 	if t.ownerKnown && t.owner == p {
 		t.ownerKnown = false
 	}
+	if !t.releases[p].IsZero() {
+		t.release(p, t.lastPlacement)
+		t.placeHeld(now)
+	}
+	delete(t.lastPlacementAt, p)
+	return t.flush()
 }
--- a/internal/decide/home/table_test.go
+++ b/internal/decide/home/table_test.go
@@ -49,7 +49,7 @@
 }
 
 func newTable() *home.Table {
-	t := home.New()
+	t := home.New(unlinked)
 	t.SetOwner(baseTime, owner1, true)
 	return t
 }
@@ -117,7 +117,7 @@
 	first := ordersOf(table.Submit(baseTime, 1, spec(step(2)), settings, time.Second))
 	is.True(!first[0].MayHaveStarted)
 	table.HandleEnds(baseTime, owner1, []job.TaskEnd{end(0, 0, 1, job.Done)})
-	table.HandleLinkDown(owner1)
+	table.HandleLinkDown(baseTime, owner1)
 	is.Equal(len(ordersOf(table.Tick(baseTime))), 0) // no owner to place tasks at
 	placedAgain := ordersOf(table.SetOwner(baseTime, owner2, true))
 	is.Equal(len(placedAgain), 1)
@@ -183,7 +183,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			table := home.New()
+			table := home.New(unlinked)
 			table.SetOwner(baseTime, owner1, c.known)
 			table.Submit(baseTime, 1, spec(step(1)), settings, time.Second)
 			is.Equal(len(answersOf(table.Tick(baseTime.Add(900*time.Millisecond)))), 0)
@@ -204,3 +204,7 @@
 	table.HandlePause(2 * time.Second)
 	is.Equal(len(answersOf(table.Tick(baseTime))), 1)
 }
+
+// unlinked takes all other processes for lost, so that none is asked to release
+// tasks.
+func unlinked(ident.Process) bool { return false }
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -24,7 +24,8 @@
 			ListAgeMs: uint32(min(m.ListAge.Milliseconds(), math.MaxUint32)),
 			Owner:     string(m.Owner.Instance), OwnerIncarnation: uint64(m.Owner.Incarnation),
 			Ask: m.RequestReply, ReadList: m.ReadList, Followers: uint32(max(m.Followers, 0)), Layout: peerpb.Layout(m.Layout),
-			Processors: uint32(min(max(m.Processors, 0), math.MaxUint32)),
+			Processors:    uint32(min(max(m.Processors, 0), math.MaxUint32)),
+			LastPlacement: m.LastPlacement, Released: m.Released,
 		}}}
 	case dispatcher.Orders:
 		return encodeOrders(m)
@@ -57,6 +58,7 @@
 			},
 			ListAge: time.Duration(body.Pulse.GetListAgeMs()) * time.Millisecond,
 			Layout:  group.Layout(body.Pulse.GetLayout()), RequestReply: body.Pulse.GetAsk(), ReadList: body.Pulse.GetReadList(),
+			LastPlacement: body.Pulse.GetLastPlacement(), Released: body.Pulse.GetReleased(),
 		}, true
 	case *peerpb.Message_PlaceOrders:
 		orders, ok := decodeOrders(body.PlaceOrders)
