Keep the placements of a job that is submitted again at its home

What callers saw: a job that was answered 504 and submitted again through the same connection may run beside the run of its first submission.

Cause: the home forgot the open placements with the answer, so that the order for the second submission said that no owner may have started it, and counted its runs from 1 again.

Change: open placements and run numbers of a closed job are kept for 2 s and belong to its next submission.

--- a/internal/decide/home/completion.go
+++ b/internal/decide/home/completion.go
@@ -134,6 +134,7 @@
 	for _, to := range j.openAt() {
 		t.actions = append(t.actions, Withdraw{To: to, Job: j.spec.ID})
 	}
+	t.keepPlacements(now, j)
 	if retryAfter == 0 {
 		retryAfter = defaultRetryAfter
 	}
--- a/internal/decide/home/placement.go
+++ b/internal/decide/home/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
@@ -66,3 +67,47 @@
 	}
 	return Refused
 }
+
+// abandonedJob holds the tasks of a job that was closed at a time.
+type abandonedJob struct {
+	steps []stepState
+	at    time.Time
+}
+
+// placementRetention is how long the placements of a closed job are kept. A run
+// of it ends within owner.Config.ForeignStartDelay.
+const placementRetention = 2 * time.Second
+
+// keepPlacements keeps the open placements of a job that is closed. Its runs may
+// go on for a moment, also after its caller has submitted it again.
+func (t *Table) keepPlacements(now time.Time, j *openJob) {
+	if len(j.openAt()) == 0 {
+		return
+	}
+	for id, a := range t.abandoned {
+		if now.Sub(a.at) >= placementRetention {
+			delete(t.abandoned, id)
+		}
+	}
+	t.abandoned[j.spec.ID] = abandonedJob{steps: j.steps, at: now}
+}
+
+// restorePlacements adds the open placements of an earlier submission of the job
+// to its tasks. These count as released, since the job was withdrawn.
+func (t *Table) restorePlacements(now time.Time, j *openJob) {
+	a, ok := t.abandoned[j.spec.ID]
+	delete(t.abandoned, j.spec.ID)
+	if !ok || now.Sub(a.at) >= placementRetention || len(a.steps) != len(j.steps) {
+		return
+	}
+	for i := range j.steps {
+		for k := range min(len(j.steps[i].tasks), len(a.steps[i].tasks)) {
+			earlier, task := &a.steps[i].tasks[k], &j.steps[i].tasks[k]
+			task.minRun = earlier.minRun + runNumberGap
+			for _, p := range earlier.placements {
+				p.released = true
+				task.placements = append(task.placements, p)
+			}
+		}
+	}
+}
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -201,6 +201,9 @@
 	// after that.
 	releases map[ident.Process]time.Time
 	held     map[job.ID]bool
+	// abandoned holds jobs that were closed while tasks were placed; see
+	// keepPlacements.
+	abandoned map[job.ID]abandonedJob
 	// lastPlacementAt is the number of the latest order for each process that
 	// was sent one.
 	lastPlacementAt map[ident.Process]uint64
@@ -214,7 +217,7 @@
 func New(linked func(ident.Process) bool) *Table {
 	return &Table{
 		whole: true, jobs: map[job.ID]*openJob{}, keptResults: map[job.ID]keptResult{}, rejectedJobs: map[job.ID]bool{},
-		linked: linked, releases: map[ident.Process]time.Time{}, held: map[job.ID]bool{}, lastPlacementAt: map[ident.Process]uint64{},
+		linked: linked, releases: map[ident.Process]time.Time{}, held: map[job.ID]bool{}, lastPlacementAt: map[ident.Process]uint64{}, abandoned: map[job.ID]abandonedJob{},
 	}
 }
 
@@ -266,6 +269,7 @@
 		}
 	}
 	t.jobs[spec.ID] = j
+	t.restorePlacements(now, j)
 	t.placeReadySteps(now, j)
 	return t.flush()
 }
