Repeat withdrawals that may have been lost with a link

What callers saw: a job goes on after its caller has left or was answered, until its deadline, and may run beside its next submission.

Cause: a withdrawal was not sent while the link was down, since an owner drops the tasks of a lost home.

Change: a home keeps its withdrawals for 2 s and sends those of an owner again over a new link to it, unless the job is open again.

--- a/internal/decide/dispatcher/actions.go
+++ b/internal/decide/dispatcher/actions.go
@@ -23,11 +23,10 @@
 				c.applyPoolActions(now, c.pool.Withdraw(now, c.self, a.Job))
 				continue
 			}
-			// An owner drops the tasks of homes whose link is lost.
-			if _, linked := c.groups.linked[a.To]; !linked {
-				continue
+			c.noteWithdrawal(now, a)
+			if c.linked(a.To) {
+				c.pending = append(c.pending, Send{To: a.To, Message: Withdrawal(a.Job)})
 			}
-			c.pending = append(c.pending, Send{To: a.To, Message: Withdrawal(a.Job)})
 		case home.RequestRelease:
 			c.requestRelease(now, a.From)
 		case home.Answer:
--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -134,6 +134,8 @@
 	// released holds, for each linked process that follows another owner, the
 	// number up to which its orders are not started here.
 	released map[ident.Process]uint64
+	// withdrawals holds the latest withdrawals, oldest first.
+	withdrawals []withdrawal
 	// pauseOverAt is when all that was received during the latest pause of this
 	// process has been handled.
 	pauseOverAt time.Time
@@ -332,6 +334,7 @@
 	c.groups.linked[process] = dc
 	delete(c.lostPeers, process)
 	c.pool.SetHomeAbsent(process, false)
+	c.repeatWithdrawals(now, process)
 	if c.inGroup(dc) {
 		c.view.HandleLinkUp(now, process, dc)
 		c.reclaimAt = now.Add(reclaimDelay)
--- a/internal/decide/dispatcher/release.go
+++ b/internal/decide/dispatcher/release.go
@@ -5,6 +5,7 @@
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 )
 
 // linked reports whether there is a link to another process.
@@ -49,3 +50,36 @@
 	m.RequestReply, m.Released = true, c.released[from]
 	c.pending = append(c.pending, Send{To: from, Urgent: true, Message: m})
 }
+
+// withdrawal is a withdrawal that may have been lost with a link.
+type withdrawal struct {
+	home.Withdraw
+	at time.Time
+}
+
+// withdrawalRetention is how long withdrawals are kept. An owner drops the tasks
+// of a home whose link is lost for longer than Config.LinkGrace after the
+// heartbeat timeout.
+const withdrawalRetention = 2 * time.Second
+
+// noteWithdrawal keeps a withdrawal for the case that it is lost with the link to
+// its owner, or that there is no link to it.
+func (c *Core) noteWithdrawal(now time.Time, w home.Withdraw) {
+	expired := 0
+	for expired < len(c.withdrawals) && now.Sub(c.withdrawals[expired].at) >= withdrawalRetention {
+		expired++
+	}
+	c.withdrawals = append(c.withdrawals[expired:], withdrawal{Withdraw: w, at: now})
+}
+
+// repeatWithdrawals sends the latest withdrawals again to an owner with a new
+// link, which may have kept the tasks. Jobs that were submitted again since are
+// placed again instead.
+func (c *Core) repeatWithdrawals(now time.Time, to ident.Process) {
+	for _, w := range c.withdrawals {
+		open, _ := c.jobs.State(w.Job)
+		if w.To == to && now.Sub(w.at) < withdrawalRetention && !open {
+			c.pending = append(c.pending, Send{To: to, Message: Withdrawal(w.Job)})
+		}
+	}
+}
