Add a failing schedule with an owner that is paused shortly and cut off

Cause: View.Tick adds each gap of more than two heartbeat intervals (240 ms) to the time at which each peer was last heard. An owner that is paused again and again for 240 to 300 ms never takes its silent homes for lost. Pauses below PauseLimit do not delay its starts either. It starts tasks for these homes seconds after the new owner's 1.7 s are over, on endpoints that the new owner cannot poll.

--- a/internal/decide/dispatcher/twice_test.go
+++ b/internal/decide/dispatcher/twice_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -221,3 +222,57 @@
 	}
 	j.pending = false
 }
+
+// TestCutOffOwnerPausedShortly guards against a task that runs at two owners,
+// because an owner that is cut off from the others is paused so often that it
+// does not notice this. Some endpoints are out of reach of the new owner.
+func TestCutOffOwnerPausedShortly(t *testing.T) {
+	for _, seed := range []uint64{4, 10, 12} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newFleet(t, seed, 6, 6, group.Strength{})
+			f.run(4 * time.Second)
+			for _, s := range f.endpoints {
+				s.fake.PlanOf = func(job.Key) leased.RunPlan { return leased.RunPlan{Duration: 400 * time.Millisecond} }
+			}
+			o := f.ownerInstance()
+			f.submitSteadily(time.Second)
+			f.pauseShortly(o, f.now.Add(5*time.Second))
+			f.submitSteadily(500 * time.Millisecond)
+			f.isolate(o, 3*time.Second)
+			for _, n := range f.instances {
+				for _, s := range f.endpoints {
+					if n != o && f.chance(0.3) {
+						f.endpointCuts[[2]int{n.index, s.index}] = true
+					}
+				}
+			}
+			f.at(3*time.Second, func() { clear(f.endpointCuts) })
+			f.submitSteadily(4 * time.Second)
+			f.run(3 * time.Second)
+		})
+	}
+}
+
+// submitSteadily submits a job of one step each 10 ms.
+func (f *fleet) submitSteadily(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		n := f.instances[f.rng.IntN(len(f.instances))]
+		j := f.newJob()
+		j.spec.Steps = j.spec.Steps[:1]
+		j.spec.Steps[0].Room.CPU, j.spec.Steps[0].Estimate = 3000, 400*time.Millisecond
+		j.deadline = 4 * time.Second
+		f.submit(n, j)
+		f.run(10 * time.Millisecond)
+	}
+}
+
+// pauseShortly pauses an instance again and again, each time for less than
+// dispatcher.PauseLimit, with at most 45 ms between two pauses.
+func (f *fleet) pauseShortly(n *simInstance, until time.Time) {
+	if !f.now.Before(until) {
+		return
+	}
+	d := time.Duration(270+f.rng.IntN(25)) * time.Millisecond
+	f.pause(n, d, false)
+	f.at(d+time.Duration(26+f.rng.IntN(20))*time.Millisecond, func() { f.pauseShortly(n, until) })
+}
