Count the lease of the earlier owner when an endpoint is out of reach

What callers saw: a task ran twice at the same time, at the old and at the new owner, when the owner was killed and an endpoint went out of reach right after the new owner had adopted its runs.

Cause: an owner starts the tasks of a silent endpoint again when the leases that it has requested itself have expired. The earlier owner may have renewed the lease for a whole second until its endpoint accepted the new owner's poll. The new owner requests only 0.4 s while the endpoint has runs that no home has claimed, and started the others again up to 0.6 s too early.

Change: an endpoint that an owner comes to hold counts as leased for the longest lease from that moment. The lease that is requested does not change.

TestLeaseOfEarlierOwnerCounts fails without the change and passes with it.

--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -51,7 +51,8 @@
 	// clockReadAt.
 	clock       EndpointTime
 	clockReadAt time.Time
-	// leaseUntil is the latest lease end that was requested.
+	// leaseUntil is the latest lease end that this owner, or another one before
+	// it, can have requested.
 	leaseUntil EndpointTime
 	// lastIncarnation is the Incarnation as of the latest poll.
 	lastIncarnation int64
@@ -156,13 +157,13 @@
 	}
 	leaseUntil := e.clock + EndpointTime((now.Sub(e.clockReadAt) + lease).Milliseconds())
 	e.leaseUntil = max(e.leaseUntil, leaseUntil)
-	return e.leaseUntil
+	return leaseUntil
 }
 
-// leaseExpired reports whether all leases that this owner requested on the
-// endpoint have certainly expired, even if the endpoint's clock is slow. It
-// allows for another owner that has acquired the endpoint and keeps its runs
-// until their homes had time to claim them.
+// leaseExpired reports whether all leases that this owner, and those before it,
+// requested on the endpoint have certainly expired, even if the endpoint's clock
+// is slow. It allows for another owner that has acquired the endpoint since and
+// keeps its runs until their homes had time to claim them.
 func (e *endpoint) leaseExpired(now time.Time, cfg *Config) bool {
 	if e.leaseUntil == 0 {
 		return true
--- a/internal/decide/owner/poll.go
+++ b/internal/decide/owner/poll.go
@@ -107,6 +107,10 @@
 	stale := result.Clock < e.clock
 	e.lastIncarnation = result.Incarnation
 	e.updateClock(now, result.Clock)
+	if e.ownership != ownershipHeld {
+		// Another owner may have renewed the lease until this poll was accepted.
+		e.leaseUntil = max(e.leaseUntil, result.Clock+EndpointTime(p.cfg.LeaseMax.Milliseconds()))
+	}
 	e.ownership, e.fenceAccepted, e.pollFailures, e.fenceStep = ownershipHeld, true, 0, 0
 	// A stale list is not read, so that it does not show what runs.
 	if !stale && result.SentAt.After(e.polledAt) {
--- a/internal/decide/owner/twice_test.go
+++ b/internal/decide/owner/twice_test.go
@@ -246,3 +246,38 @@
 		h.is.Equal(len(h.endpoints[running].Running()), 0) // the run has ended when the next one starts
 	}
 }
+
+// TestLeaseOfEarlierOwnerCounts guards against a task that starts again while its
+// adopted run goes on under the lease of the earlier owner, on an endpoint that
+// is out of reach since the takeover.
+func TestLeaseOfEarlierOwnerCounts(t *testing.T) {
+	for name, claimedAfter := range map[string]time.Duration{"claimed at once": 0, "claimed late": 100 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			h := newLongRuns(t, 2)
+			h.now = h.now.Add(5 * time.Second)
+			h.updateList()
+			h.answerPolls()
+			o := patientOrder("j")
+			o.Needs.RequiredLabel = "r-0"
+			h.place(home1, o)
+			unclaimed := o
+			unclaimed.Job = "k"
+			h.place(home2, unclaimed)
+			running := h.starts[0].Endpoint
+			h.answerStarts() // the lease ends in a second
+			h.takeOver(2000)
+			h.answerPolls()
+			h.advance(claimedAfter)
+			placedAgain := patientOrder("j")
+			placedAgain.MayHaveStarted, placedAgain.Placement = true, 2
+			h.place(home1, placedAgain)
+			for end := h.now.Add(3 * time.Second); len(h.starts) == 0 && h.now.Before(end); {
+				h.failPollsOf(running)
+				h.answerPollsOf(otherEndpoint(running))
+				h.advance(20 * time.Millisecond)
+			}
+			h.is.Equal(len(h.starts), 1)
+			h.is.Equal(len(h.endpoints[running].Running()), 0) // the first run has ended
+		})
+	}
+}
