Let entries lapse in long outages only

An entry lapses after three status intervals of silence, so that an outage of 0.1 s cannot remove it: in the schedules it now takes 3 s at least.

--- a/internal/decide/dispatcher/takeover_schedule_test.go
+++ b/internal/decide/dispatcher/takeover_schedule_test.go
@@ -234,6 +234,10 @@
 // that lapsed are listed again.
 const relistTime = 2 * time.Second
 
+// leastLapse is how long the store must be down for an entry to lapse: entryTTL
+// less the time between two writes of an endpoint.
+const leastLapse = 3 * time.Second
+
 // disturbStore lets the store fail, or cuts instances off from it. Entries may
 // lapse in an outage.
 func (f *fleet) disturbStore() {
@@ -248,6 +252,9 @@
 		return
 	}
 	lapse := f.chance(0.7)
+	if lapse {
+		d = f.between(leastLapse, 5*time.Second)
+	}
 	f.logf("the store is down for %v, entries lapse: %v", d, lapse)
 	f.storeDown = true
 	f.at(d, func() {
