--- a/internal/decide/dispatcher/duplicate_run_test.go
+++ b/internal/decide/dispatcher/duplicate_run_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -288,3 +289,30 @@
 		})
 	}
 }
+
+// TestIsolatedOwnerChecksAllEndpoints guards against a task of a new order that
+// starts at an owner that polls a share of the endpoints only, since it is linked
+// to a minority, while a run of an earlier submission goes on at another
+// endpoint. The earlier owner renews the lease of that run after a pause, and
+// then follows the new owner without stopping the run. Its home was killed
+// during the pause, together with others, which still count as part of the fleet
+// while the store is down. All instances reach all endpoints.
+func TestIsolatedOwnerChecksAllEndpoints(t *testing.T) {
+	for pause := 500 * time.Millisecond; pause < time.Second; pause += 50 * time.Millisecond {
+		t.Run(fmt.Sprint(pause), func(t *testing.T) {
+			f := newDirectedFleet(t)
+			f.jobDeadline = 10 * time.Second
+			f.startTask(f.other(f.owner))
+			second := f.other(f.owner)
+			f.storeDown = true
+			f.at(3*time.Second, func() { f.storeDown, f.storeUpSince = false, f.now })
+			f.pause(f.owner, pause, false)
+			f.kill(f.home, false)
+			third := f.other(f.owner, second)
+			f.kill(third, false)
+			f.kill(f.other(f.owner, second, third), false)
+			f.run(resubmitDelay)
+			f.submitAgain(second)
+		})
+	}
+}
