Renew no lease right after a pause

What callers saw: a task of a lost home ran beside its next submission.

Cause: an owner that goes on after a pause of up to a second renewed the leases of its endpoints at once, and noticed after that that another owner had replaced it or that homes were lost. The runs of a lost home then outlived it by up to two seconds.

TestIsolatedOwnerChecksAllEndpoints failed before and passes now.

--- a/internal/decide/owner/poll.go
+++ b/internal/decide/owner/poll.go
@@ -9,8 +9,8 @@
 
 // sendPoll sends a poll that renews the lease of an endpoint and asks for its
 // lists of current and ended runs. It raises the fence of an endpoint that
-// another owner holds, to acquire it. It does not renew the lease after
-// maxRenewFailures failures, or before the endpoint's clock is known.
+// another owner holds, to acquire it. It does not renew the lease before the
+// endpoint's clock is known, or when mayRenew forbids it.
 func (p *Pool) sendPoll(now time.Time, e *endpoint) {
 	wait := p.cfg.PollWait
 	if e.ownership == ownershipForeign {
@@ -25,7 +25,7 @@
 		wait = min(wait, p.cfg.UnreliablePollWait+time.Duration(p.unreliableCount)*p.cfg.UnreliablePollStep)
 	}
 	poll := Poll{Call: p.newCall(e), Acknowledged: e.acknowledged, Wait: wait}
-	if e.clock > 0 && e.pollFailures < maxRenewFailures {
+	if e.clock > 0 && p.mayRenew(now, e) {
 		poll.LeaseUntil = e.extendLease(now, p.cfg.LeaseMax)
 	}
 	e.pollCall = poll.Number
@@ -38,6 +38,13 @@
 	p.actions = append(p.actions, poll)
 }
 
+// mayRenew reports whether a poll may renew the lease of the endpoint. After a
+// pause of this process it may not until the process has had time to notice that
+// it was replaced.
+func (p *Pool) mayRenew(now time.Time, e *endpoint) bool {
+	return e.pollFailures < maxRenewFailures && !now.Before(p.pausedUntil)
+}
+
 // maxRenewFailures is the number of unanswered polls in a row from which on
 // polls do not renew the lease. Each of them might still reach the endpoint, so
 // that the lease would never count as expired. It is above 1, since single
@@ -277,7 +284,7 @@
 // pollNow sends a poll without a wait, in addition to a poll in flight.
 func (p *Pool) pollNow(now time.Time, e *endpoint) {
 	poll := Poll{Call: p.newCall(e), Acknowledged: e.acknowledged}
-	if e.pollFailures < maxRenewFailures {
+	if p.mayRenew(now, e) {
 		poll.LeaseUntil = e.extendLease(now, p.cfg.LeaseMax)
 	}
 	p.inFlight[poll.Number] = inFlightCall{endpoint: e, fence: poll.Fence}
