Let a pool know that its list of endpoints is incomplete

A new owner takes polls of all endpoints that it knows for proof that a task placed again runs nowhere. It trusted its list from 2.5 s after the first one arrived, and knew nothing of endpoints that left the list before it had one.

Pool.SetListIncomplete restarts these 2.5 s, in which such a task waits for the leases of the earlier owner to end.

--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -41,7 +41,8 @@
 	acquiredAt time.Time
 	// listedAt is when the list of endpoints was read.
 	listedAt time.Time
-	// knownSince is when the first list of endpoints arrived.
+	// knownSince is since when the list counts as complete: when the first one
+	// arrived, or SetListIncomplete was last called.
 	knownSince time.Time
 	batches    map[batchID]*batch
 	// batchesByJob holds the batches of each job, from any home.
@@ -190,11 +191,7 @@
 		listed[entry.ID] = true
 		e := p.endpoints[entry.ID]
 		if e == nil {
-			e = &endpoint{Endpoint: entry}
-			e.reset()
-			e.fence = p.fence
-			p.endpoints[entry.ID] = e
-			p.sortedEndpoints = append(p.sortedEndpoints, e)
+			e = p.addEndpoint(entry)
 		}
 		if e.Address != entry.Address {
 			e.pollFailures, e.nextPoll = 0, time.Time{}
@@ -218,7 +215,7 @@
 		}
 		return expired
 	})
-	slices.SortFunc(p.sortedEndpoints, func(a, b *endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	p.sortEndpoints()
 	return p.Tick(now)
 }
 
