Send the whole list to peers whose list differs from the owner's

An instance that had read a partial list after an outage of the store kept it: the owner sent only changes of its own list, and a whole list only to peers without one. When the instance became the owner, it polled the endpoints of the partial list and started tasks that ran on the others.

Heartbeats now carry a digest of the ids in the list. The owner sends the whole list to a peer whose digest differs when the two are first compared, or later for 2 s, and with it the endpoints that it polls although its list lacks them.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -76,6 +76,9 @@
 	// ListAge is the age of the sender's list of endpoints, listing.NoList
 	// without one.
 	ListAge time.Duration
+	// ListDigest is the digest of that list. It is zero without a list, and for
+	// senders that do not compute it.
+	ListDigest uint64
 	// Layout is how the sender sees the fleet divided.
 	Layout group.Layout
 	// ReadList asks the receiver to read the list of endpoints and send it.
@@ -145,6 +148,7 @@
 	isolated  bool
 	lastOwner ident.Process
 	list      *listing.List
+	agreement agreement
 	groups    groups
 	pending   []Action
 }
@@ -263,6 +267,7 @@
 	case isOwner && !c.pool.Active():
 		epoch := max(c.view.Epoch()+takeoverEpochs, uint64(max(0, now.Unix()-epochBase)))
 		c.view.ObserveEpoch(epoch)
+		c.list.HandleTakeover()
 		c.applyPoolActions(now, c.pool.Activate(now, owner.NewFence(epoch, c.cfg.FenceNonce), c.ownershipFilter(now)))
 	case !isOwner && c.pool.Active():
 		c.pool.Deactivate(now)
@@ -312,7 +317,7 @@
 
 func (c *Core) ownHeartbeat(now time.Time) Heartbeat {
 	return Heartbeat{
-		Heartbeat: c.view.OwnHeartbeat(), ListAge: c.list.Age(now), Layout: c.groups.decider.Layout(), LastPlacement: c.jobs.LastPlacement(),
+		Heartbeat: c.view.OwnHeartbeat(), ListAge: c.list.Age(now), ListDigest: c.list.Digest(), Layout: c.groups.decider.Layout(), LastPlacement: c.jobs.LastPlacement(),
 	}
 }
 
@@ -325,6 +330,7 @@
 	delete(c.released, process)
 	c.applyJobActions(now, c.jobs.HandleLinkDown(now, process))
 	c.list.HandleLinkDown(process)
+	c.agreement.forget(process)
 	c.lostPeers[process] = now.Add(grace)
 	c.pool.SetHomeAbsent(process, true)
 }
@@ -390,9 +396,7 @@
 	case TaskEnds:
 		c.applyJobActions(now, c.jobs.HandleEnds(now, from, m))
 	case listing.Snapshot:
-		if c.list.Receive(now, m) {
-			c.updateEndpoints(now)
-		}
+		c.receiveList(now, m)
 	case listing.Changes:
 		if c.list.Apply(now, m) {
 			c.updateEndpoints(now)
--- a/internal/decide/dispatcher/endpoints.go
+++ b/internal/decide/dispatcher/endpoints.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
@@ -68,12 +69,77 @@
 }
 
 // exchangeList handles what a heartbeat says about the list of endpoints: an
-// owner asks for it, or a peer of this owner has none.
+// owner asks for it, or its list differs from the one of this instance.
 func (c *Core) exchangeList(now time.Time, from ident.Process, m Heartbeat) {
 	if m.ReadList && c.list.HandleRequest(now, from) {
 		c.pending = append(c.pending, ReadEndpoints{})
 	}
-	if c.pool.Active() && c.list.NeedsPush(now, from, m.ListAge) {
-		c.pending = append(c.pending, Send{To: from, Message: c.list.Snapshot(now)})
+	if m.Owner == from && c.agreement.observe(now, from, c.list.Digest(), m.ListDigest) {
+		c.pool.SetListIncomplete(now)
+	}
+	if !c.pool.Active() {
+		return
+	}
+	missing := c.pool.MissingEndpoints(now)
+	switch c.list.NextPush(now, from, listing.PeerList{Age: m.ListAge, Digest: m.ListDigest}, len(missing) > 0) {
+	case listing.PushList:
+		s := c.list.Snapshot(now)
+		s.Missing = missing
+		c.pending = append(c.pending, Send{To: from, Message: s})
+	case listing.PushMissing:
+		c.pending = append(c.pending, Send{To: from, Message: listing.Snapshot{Age: listing.NoList, Missing: missing}})
+	}
+}
+
+// receiveList takes over a list that a peer sent. Endpoints that its sender
+// polls and that the newer list lacks may have runs; the pool polls them, too,
+// if it becomes active.
+func (c *Core) receiveList(now time.Time, s listing.Snapshot) {
+	missing := s.Missing
+	switch {
+	case c.list.Receive(now, s):
+		c.updateEndpoints(now)
+	case !c.pool.Active():
+		// Only an owner sends a list to an instance that is none.
+		missing = slices.Concat(missing, s.Endpoints)
+	}
+	missing = slices.DeleteFunc(slices.Clone(missing), func(e owner.Endpoint) bool { return !c.inGroup(e.DataCentre) })
+	c.pool.AddMissing(now, missing)
+}
+
+// agreement records whether the list of an owner and the one of this instance
+// have the same digest.
+type agreement struct {
+	// with is the owner whose digest was last the same.
+	with ident.Process
+	// differsSince is since when the digest of that owner differs, or zero.
+	differsSince time.Time
+}
+
+// changeTime is how long the digests may differ while changes are on the way.
+const changeTime = 300 * time.Millisecond
+
+// observe handles the digest in a heartbeat of an owner, and reports whether
+// the list of this instance may lack endpoints that the owner uses. Digests that
+// are zero are not compared.
+func (a *agreement) observe(now time.Time, from ident.Process, own, other uint64) (incomplete bool) {
+	switch {
+	case own == 0 || other == 0:
+		return false
+	case own == other:
+		a.with, a.differsSince = from, time.Time{}
+		return false
+	case a.with != from:
+		return true
+	case a.differsSince.IsZero():
+		a.differsSince = now
+	}
+	return now.Sub(a.differsSince) >= changeTime
+}
+
+// forget records that the link to a process ended; changes may be lost.
+func (a *agreement) forget(p ident.Process) {
+	if a.with == p {
+		*a = agreement{}
 	}
 }
--- a/internal/decide/listing/list.go
+++ b/internal/decide/listing/list.go
@@ -28,8 +28,12 @@
 	// Helpers is the number of peers that are asked at a time.
 	Helpers int
 	// PushInterval is the least time between two whole lists that the owner
-	// sends to a peer that has none.
+	// sends to a peer.
 	PushInterval time.Duration
+	// DifferenceDelay is how long the list of a peer must differ from the
+	// owner's before the owner sends the whole list. Changes under way make it
+	// differ for a moment.
+	DifferenceDelay time.Duration
 }
 
 // Defaults returns c with its zero fields set to their defaults.
@@ -42,6 +46,7 @@
 	set(&c.MaxAge, 1500*time.Millisecond)
 	set(&c.HelperTimeout, 600*time.Millisecond)
 	set(&c.PushInterval, time.Second)
+	set(&c.DifferenceDelay, 2*time.Second)
 	if c.Helpers == 0 {
 		c.Helpers = 2
 	}
@@ -52,10 +57,14 @@
 // bits of milliseconds.
 const NoList = (1<<32 - 1) * time.Millisecond
 
-// Snapshot is a whole list and its age.
+// Snapshot is a whole list and its age. If the age is NoList, it has only the
+// missing endpoints.
 type Snapshot struct {
 	Endpoints []owner.Endpoint
 	Age       time.Duration
+	// Missing holds the endpoints that the sender, an owner, still polls
+	// although its list lacks them.
+	Missing []owner.Endpoint
 }
 
 // Changes lists what differs between two lists of endpoints. Age is the age of
@@ -75,22 +84,23 @@
 	// endpoints is sorted by ID. Its elements are not modified, so that slices
 	// of it may be kept.
 	endpoints []owner.Endpoint
+	// digest is that of the ids of endpoints, or zero while there is no list.
+	digest uint64
 	// readAt is when the list was read from the store, by this instance or by
 	// the peer that sent it. It is zero while there is no list.
 	readAt time.Time
 	// ownReadAt is when this instance last read the list itself.
 	ownReadAt time.Time
 	helpers   helpers
-	// pushedAt holds, for each linked peer, when the owner last sent it the
-	// whole list, or zero.
-	pushedAt map[ident.Process]time.Time
+	// pushes holds what the owner has sent to each linked peer.
+	pushes map[ident.Process]*pushState
 	// request is the latest request of an owner to read the list for it.
 	request request
 }
 
 // New returns an empty list.
 func New(cfg Config) *List {
-	return &List{cfg: cfg.Defaults(), pushedAt: map[ident.Process]time.Time{}}
+	return &List{cfg: cfg.Defaults(), pushes: map[ident.Process]*pushState{}}
 }
 
 // Endpoints returns the entries, sorted by ID. Callers must not change them.
@@ -117,7 +127,7 @@
 	sorted := slices.Clone(entries)
 	slices.SortFunc(sorted, compareIDs)
 	changes := difference(l.endpoints, sorted)
-	l.endpoints, l.readAt = sorted, now
+	l.set(sorted, now)
 	return changes
 }
 
@@ -125,11 +135,12 @@
 // than the own one.
 func (l *List) Receive(now time.Time, s Snapshot) bool {
 	readAt := now.Add(-s.Age)
-	if !readAt.After(l.readAt) {
+	if s.Age >= NoList || !readAt.After(l.readAt) {
 		return false
 	}
-	l.endpoints, l.readAt = slices.Clone(s.Endpoints), readAt
-	slices.SortFunc(l.endpoints, compareIDs)
+	sorted := slices.Clone(s.Endpoints)
+	slices.SortFunc(sorted, compareIDs)
+	l.set(sorted, readAt)
 	return true
 }
 
@@ -140,37 +151,24 @@
 	if l.readAt.IsZero() || !readAt.After(l.readAt) {
 		return false
 	}
-	if !c.Empty() {
-		l.endpoints = merge(l.endpoints, c)
+	if c.Empty() {
+		l.readAt = readAt
+		return true
 	}
-	l.readAt = readAt
+	l.set(merge(l.endpoints, c), readAt)
 	return true
 }
 
+// set replaces the list by a sorted one.
+func (l *List) set(sorted []owner.Endpoint, readAt time.Time) {
+	l.endpoints, l.readAt, l.digest = sorted, readAt, digest(sorted)
+}
+
 // Snapshot returns the whole list, for a peer.
 func (l *List) Snapshot(now time.Time) Snapshot {
 	return Snapshot{Endpoints: l.endpoints, Age: l.Age(now)}
 }
 
-// HandleLinkUp records a new link to a peer.
-func (l *List) HandleLinkUp(p ident.Process) { l.pushedAt[p] = time.Time{} }
-
-// HandleLinkDown records that the link to a peer ended.
-func (l *List) HandleLinkDown(p ident.Process) { delete(l.pushedAt, p) }
-
-// NeedsPush reports whether the owner has to send its whole list to a linked
-// peer, whose own list has the given age. If so, it counts as sent. A peer
-// without a list gets it at once: if it becomes the owner, it must poll all
-// endpoints that may have runs, also those that the store no longer lists.
-func (l *List) NeedsPush(now time.Time, p ident.Process, age time.Duration) bool {
-	at, linked := l.pushedAt[p]
-	if !linked || age < NoList || !l.Known() || now.Sub(at) < l.cfg.PushInterval {
-		return false
-	}
-	l.pushedAt[p] = now
-	return true
-}
-
 func compareIDs(a, b owner.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) }
 
 // difference returns what changes from one sorted list to another.
--- a/internal/decide/listing/list_test.go
+++ b/internal/decide/listing/list_test.go
@@ -63,12 +63,72 @@
 	l := listing.New(listing.Config{})
 	l.Read(baseTime, entries(3))
 	l.HandleLinkUp(process(1))
-	is.True(!l.NeedsPush(baseTime, process(1), time.Minute)) // it has one
-	is.True(l.NeedsPush(baseTime, process(1), listing.NoList))
-	is.True(!l.NeedsPush(baseTime.Add(100*time.Millisecond), process(1), listing.NoList))
-	is.True(l.NeedsPush(baseTime.Add(2*time.Second), process(1), listing.NoList))
+	none := listing.PeerList{Age: listing.NoList}
+	// A peer of an earlier version has one.
+	is.Equal(l.NextPush(baseTime, process(1), listing.PeerList{Age: time.Minute}, true), listing.PushNothing)
+	is.Equal(l.NextPush(baseTime, process(1), none, false), listing.PushList)
+	is.Equal(l.NextPush(baseTime.Add(100*time.Millisecond), process(1), none, false), listing.PushNothing)
+	is.Equal(l.NextPush(baseTime.Add(2*time.Second), process(1), none, false), listing.PushList)
 	l.HandleLinkDown(process(1))
-	is.True(!l.NeedsPush(baseTime.Add(9*time.Second), process(1), listing.NoList))
+	is.Equal(l.NextPush(baseTime.Add(9*time.Second), process(1), none, false), listing.PushNothing)
+}
+
+// TestPeerWithOtherListGetsWhole guards against a peer that keeps a partial list
+// since the owner only sends changes, and against whole lists that are sent
+// because of changes that are on the way.
+func TestPeerWithOtherListGetsWhole(t *testing.T) {
+	is := is.New(t)
+	cfg := listing.Config{}.Defaults()
+	l, partial := listing.New(cfg), listing.New(cfg)
+	l.Read(baseTime, entries(3))
+	partial.Read(baseTime, entries(2))
+	same := listing.PeerList{Digest: l.Digest()}
+	other := listing.PeerList{Digest: partial.Digest()}
+	next := func(after time.Duration, peer listing.PeerList) listing.Push {
+		return l.NextPush(baseTime.Add(after), process(1), peer, false)
+	}
+	compareFirst := func(missing bool, peer listing.PeerList) listing.Push {
+		l.HandleLinkUp(process(1))
+		return l.NextPush(baseTime, process(1), peer, missing)
+	}
+	is.Equal(compareFirst(false, same), listing.PushNothing)
+	is.Equal(compareFirst(true, same), listing.PushMissing)
+	is.Equal(compareFirst(true, other), listing.PushList)
+	is.Equal(next(cfg.DifferenceDelay-time.Millisecond, other), listing.PushNothing) // it is on the way
+	is.Equal(next(2*cfg.DifferenceDelay, other), listing.PushList)
+
+	is.Equal(compareFirst(false, same), listing.PushNothing)
+	is.Equal(next(time.Second, other), listing.PushNothing) // changes are on the way
+	is.Equal(next(time.Second+cfg.DifferenceDelay-1, other), listing.PushNothing)
+	is.Equal(next(time.Second+cfg.DifferenceDelay, other), listing.PushList)
+	is.Equal(next(time.Second+cfg.DifferenceDelay+cfg.PushInterval, other), listing.PushNothing)
+	is.Equal(next(10*time.Second, same), listing.PushNothing)
+	is.Equal(next(20*time.Second, other), listing.PushNothing)
+	l.HandleTakeover()
+	is.Equal(next(20*time.Second, other), listing.PushList)
+}
+
+// TestDigestFollowsList guards against lists of different endpoints whose
+// digests agree, and against equal lists whose digests do not.
+func TestDigestFollowsList(t *testing.T) {
+	is := is.New(t)
+	l, peer := listing.New(listing.Config{}), listing.New(listing.Config{})
+	is.Equal(l.Digest(), uint64(0))
+	list := entries(3)
+	l.Read(baseTime, []owner.Endpoint{list[2], list[0], list[1]})
+	is.True(l.Digest() != 0)
+	is.True(peer.Receive(baseTime, l.Snapshot(baseTime)))
+	is.Equal(peer.Digest(), l.Digest())
+	now := baseTime.Add(time.Second)
+	changes := l.Read(now, list[:2])
+	is.True(peer.Digest() != l.Digest())
+	is.True(peer.Apply(now, changes))
+	is.Equal(peer.Digest(), l.Digest())
+	// A snapshot of the missing endpoints only has no list.
+	is.True(!listing.New(listing.Config{}).Receive(now, listing.Snapshot{Age: listing.NoList, Missing: list}))
+	l.Read(now, []owner.Endpoint{{ID: "ab"}, {ID: "c"}})
+	peer.Read(now, []owner.Endpoint{{ID: "a"}, {ID: "bc"}})
+	is.True(peer.Digest() != l.Digest())
 }
 
 // TestFewHelpers guards against a fleet in which all instances read the list
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -25,7 +25,7 @@
 			Owner:     string(m.Owner.Instance), OwnerIncarnation: uint64(m.Owner.Incarnation),
 			Ask: m.RequestReply, ReadList: m.ReadList, Followers: uint32(max(m.Followers, 0)), Layout: peerpb.Layout(m.Layout),
 			Processors:    uint32(min(max(m.Processors, 0), math.MaxUint32)),
-			LastPlacement: m.LastPlacement, Released: m.Released,
+			LastPlacement: m.LastPlacement, Released: m.Released, ListDigest: m.ListDigest,
 		}}}
 	case dispatcher.Orders:
 		return encodeOrders(m)
@@ -59,6 +59,7 @@
 			ListAge: time.Duration(body.Pulse.GetListAgeMs()) * time.Millisecond,
 			Layout:  group.Layout(body.Pulse.GetLayout()), RequestReply: body.Pulse.GetAsk(), ReadList: body.Pulse.GetReadList(),
 			LastPlacement: body.Pulse.GetLastPlacement(), Released: body.Pulse.GetReleased(),
+			ListDigest: body.Pulse.GetListDigest(),
 		}, true
 	case *peerpb.Message_PlaceOrders:
 		orders, ok := decodeOrders(body.PlaceOrders)
@@ -70,10 +71,7 @@
 	case *peerpb.Message_CrashReport:
 		return decodeCrashes(body.CrashReport), true
 	case *peerpb.Message_EndpointList:
-		return listing.Snapshot{
-			Endpoints: decodeEndpoints(body.EndpointList.GetEndpoints()),
-			Age:       time.Duration(body.EndpointList.GetAgeMs()) * time.Millisecond,
-		}, true
+		return decodeSnapshot(body.EndpointList), true
 	case *peerpb.Message_EndpointChanges:
 		return decodeChanges(body.EndpointChanges), true
 	}
--- a/internal/process/dispatch/wire_endpoints.go
+++ b/internal/process/dispatch/wire_endpoints.go
@@ -42,10 +42,17 @@
 }
 
 func encodeSnapshot(s listing.Snapshot) *peerpb.Message {
-	body := &peerpb.EndpointList{AgeMs: uint32(s.Age.Milliseconds()), Endpoints: encodeEndpoints(s.Endpoints)}
+	body := &peerpb.EndpointList{AgeMs: uint32(s.Age.Milliseconds()), Endpoints: encodeEndpoints(s.Endpoints), Missing: encodeEndpoints(s.Missing)}
 	return &peerpb.Message{Body: &peerpb.Message_EndpointList{EndpointList: body}}
 }
 
+func decodeSnapshot(body *peerpb.EndpointList) listing.Snapshot {
+	return listing.Snapshot{
+		Endpoints: decodeEndpoints(body.GetEndpoints()), Missing: decodeEndpoints(body.GetMissing()),
+		Age: time.Duration(body.GetAgeMs()) * time.Millisecond,
+	}
+}
+
 func encodeChanges(c listing.Changes) *peerpb.Message {
 	body := &peerpb.EndpointChanges{AgeMs: uint32(c.Age.Milliseconds()), Changed: encodeEndpoints(c.Changed)}
 	for _, id := range c.Removed {
--- a/internal/process/dispatch/wire_test.go
+++ b/internal/process/dispatch/wire_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/core/job"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
+	"hornbeamlift.example/hornbeamlift/internal/decide/listing"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 )
 
 // TestCrashReportSurvivesWire guards against a count of crashes that the next
@@ -18,3 +22,25 @@
 	is.True(ok)
 	is.Equal(decoded, any(report))
 }
+
+// TestListSurvivesWire guards against a peer that does not see that its list
+// differs from the owner's, or gets no endpoints that the owner's list lacks.
+func TestListSurvivesWire(t *testing.T) {
+	room := job.Room{CPU: 1, Memory: 2, GPU: 3}
+	endpoint := func(id string) []owner.Endpoint {
+		return []owner.Endpoint{{ID: ident.EndpointID(id), Address: "a:1", DataCentre: "dc", Room: room, Incarnation: 7}}
+	}
+	tests := map[string]any{
+		"heartbeat": dispatcher.Heartbeat{ListAge: time.Second, ListDigest: 1<<63 + 5},
+		"list":      listing.Snapshot{Endpoints: endpoint("e-1"), Age: time.Second, Missing: endpoint("e-2")},
+		"missing":   listing.Snapshot{Endpoints: []owner.Endpoint{}, Age: listing.NoList, Missing: endpoint("e-2")},
+	}
+	for name, message := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			decoded, ok := decode(encode(message))
+			is.True(ok)
+			is.Equal(decoded, message)
+		})
+	}
+}
