--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -399,6 +399,9 @@
 			f.sendCall(n, a.Call, func(s *simEndpoint) owner.CallResult { return s.fake.Stop(f.now, a) })
 		case owner.RunEvent:
 			f.logf("instance %d: run %d of %v on %v %v", n.index, a.Run, a.Key, a.Endpoint, a.Event)
+			f.tracker.recordRunEvent(a)
+		case owner.TakeoverEvent:
+			f.tracker.recordTakeover(a)
 		case home.Answer:
 			f.handleAnswer(n, a)
 		case dispatcher.Send:
--- a/internal/decide/dispatcher/tracker_test.go
+++ b/internal/decide/dispatcher/tracker_test.go
@@ -23,6 +23,10 @@
 	resumedAt map[int]time.Time
 	starts    map[startID]sentStart
 	leases    map[int]leaseRenewal
+	// afterTakeover counts the starts after takeovers by their basis. takeovers
+	// holds how long new owners took to poll all endpoints.
+	afterTakeover map[owner.StartBasis]int
+	takeovers     []time.Duration
 }
 
 // startID identifies a run on an endpoint.
@@ -48,6 +52,7 @@
 	return &tracker{
 		activatedAt: map[int]time.Time{}, pollSent: map[[2]int]time.Time{}, pollAnswered: map[[2]int]time.Time{},
 		isolated: map[int]bool{}, resumedAt: map[int]time.Time{}, starts: map[startID]sentStart{}, leases: map[int]leaseRenewal{},
+		afterTakeover: map[owner.StartBasis]int{},
 	}
 }
 
@@ -61,6 +66,18 @@
 	}
 }
 
+func (k *tracker) recordRunEvent(e owner.RunEvent) {
+	if k != nil && e.Event == owner.StartedAfterTakeover {
+		k.afterTakeover[e.Basis]++
+	}
+}
+
+func (k *tracker) recordTakeover(e owner.TakeoverEvent) {
+	if k != nil {
+		k.takeovers = append(k.takeovers, e.After)
+	}
+}
+
 func (k *tracker) recordIsolation(n *simInstance, isolated bool) {
 	if k != nil {
 		k.isolated[n.index] = isolated
