--- a/internal/decide/owner/missing_test.go
+++ b/internal/decide/owner/missing_test.go
@@ -8,9 +8,9 @@
 	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 )
 
-// takeOver moves the time forward and lets the pool become active under a new
+// takeOverAfter moves the time forward and lets the pool become active under a new
 // fence. Earlier calls are lost.
-func (h *harness) takeOver(after time.Duration) {
+func (h *harness) takeOverAfter(after time.Duration) {
 	h.pool.Deactivate(h.now)
 	h.now = h.now.Add(after)
 	h.polls, h.starts, h.stops = nil, nil, nil
@@ -35,7 +35,7 @@
 			h := newHarness(t, 2)
 			h.now = h.now.Add(time.Minute)
 			h.pool.SetListIncomplete(h.now)
-			h.takeOver(tt.incompleteBefore)
+			h.takeOverAfter(tt.incompleteBefore)
 			o := order("j", 1, 10_000)
 			o.MayHaveStarted, o.Deadline = true, time.Minute
 			h.place(home1, o)
@@ -61,7 +61,7 @@
 	h.pool.SetListIncomplete(h.now)
 	h.now = h.now.Add(time.Minute)
 	h.updateList()
-	h.takeOver(time.Second)
+	h.takeOverAfter(time.Second)
 	o := order("j", 1, 10_000)
 	o.MayHaveStarted, o.Deadline = true, time.Minute
 	h.place(home1, o)
@@ -91,7 +91,7 @@
 	h.pool.AddMissing(h.now, append(missing, listed...))
 	h.is.Equal(h.pool.Stats(h.now).Missing, 1) // the listed one is not missing
 
-	h.takeOver(10 * time.Millisecond)
+	h.takeOverAfter(10 * time.Millisecond)
 	polled := map[ident.EndpointID]bool{}
 	for _, poll := range h.polls {
 		polled[poll.Endpoint] = true
