Hold a job that is submitted again until its earlier owner releases it

Cause: the placements of a closed job counted as released, although the earlier owner may not have got the withdrawal yet. A held job also stayed on the list of held ones when its home returned to the earlier owner, and was placed there twice.

Change: such a job is held like one that moves, and leaves the list when it is placed.

TestResubmittedJobHeldUntilReleased and TestHeldTasksPlacedOnceAtReturningOwner failed before and pass now.

--- a/internal/decide/home/placement.go
+++ b/internal/decide/home/placement.go
@@ -93,7 +93,7 @@
 }
 
 // restorePlacements adds the open placements of an earlier submission of the job
-// to its tasks. These count as released, since the job was withdrawn.
+// to its tasks.
 func (t *Table) restorePlacements(now time.Time, j *openJob) {
 	a, ok := t.abandoned[j.spec.ID]
 	delete(t.abandoned, j.spec.ID)
@@ -104,10 +104,7 @@
 		for k := range min(len(j.steps[i].tasks), len(a.steps[i].tasks)) {
 			earlier, task := &a.steps[i].tasks[k], &j.steps[i].tasks[k]
 			task.minRun = earlier.minRun + runNumberGap
-			for _, p := range earlier.placements {
-				p.released = true
-				task.placements = append(task.placements, p)
-			}
+			task.placements = append(task.placements, earlier.placements...)
 		}
 	}
 }
--- a/internal/decide/home/table.go
+++ b/internal/decide/home/table.go
@@ -270,6 +270,12 @@
 	}
 	t.jobs[spec.ID] = j
 	t.restorePlacements(now, j)
+	if t.ownerKnown && len(j.unreleased(t.owner)) > 0 {
+		t.requestReleases(now)
+		t.held[spec.ID] = true
+		t.placeHeld(now)
+		return t.flush()
+	}
 	t.placeReadySteps(now, j)
 	return t.flush()
 }
@@ -381,6 +387,7 @@
 // still start tasks of, which is held.
 func (t *Table) ordersForOwner(now time.Time, j *openJob) []job.Order {
 	delete(t.rejectedJobs, j.spec.ID)
+	delete(t.held, j.spec.ID)
 	if len(j.unreleased(t.owner)) > 0 {
 		t.held[j.spec.ID] = true
 		return nil
