Wait for current heartbeats before trusting what peers said

What callers saw: a paused owner that is cut off takes endpoints back from the owner that has replaced it, and starts tasks for homes that have left.

Cause: that all peers follow this owner, and that a home is present, was read from heartbeats from before the pause, or assumed with each new link; a heartbeat that names another owner ended the wait for the home.

Change: a home counts as absent from a new link or a pause until its next heartbeat, and an owner takes no endpoints from another one meanwhile. The poll after a pause no longer waits while it renews no lease, and leases are withheld only after pauses in which this owner may have been replaced, since runs were lost after pauses of 0.45 to 0.65 s.

TestResumedOwnerReclaimsNothing, TestResumedOwnerRunsNoTaskTwice, TestRelinkedHomeTaskWaitsForHeartbeat, TestAbsentHomeStaysAbsentAfterOldHeartbeat and TestRunsOutlivePauseBelowLease failed before and pass now. So does TestTaskOfForgottenRunNotRefused: a task of a forgotten run may have run.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -192,11 +192,12 @@
 	c.expireLostPeers(now)
 	c.applyJobActions(now, c.jobs.Tick(now))
 	if c.pool.Active() {
-		// A foreign endpoint has seen the higher fence of another owner.
+		// A foreign endpoint has seen the higher fence of another owner. After a
+		// pause, what the peers have said before does not show whom they follow.
 		if c.pool.HasForeignEndpoints() && c.reclaimAt.IsZero() && c.view.FollowedByAll(now) {
 			c.reclaimAt = now.Add(reclaimDelay)
 		}
-		if !c.reclaimAt.IsZero() && !now.Before(c.reclaimAt) {
+		if !c.reclaimAt.IsZero() && !now.Before(c.reclaimAt) && !c.pool.AwaitsHomes() {
 			c.reclaimAt = time.Time{}
 			c.applyPoolActions(now, c.pool.Reclaim(now))
 		}
@@ -223,6 +224,9 @@
 // jobs again.
 func (c *Core) HandlePause(now time.Time, suspended time.Duration) []Action {
 	c.pool.HandlePause(now, now.Add(pauseGrace), suspended)
+	if c.view.SinceTick(now)+suspended >= c.view.HeartbeatTimeout() {
+		c.pool.WithholdRenewals(now.Add(pauseGrace))
+	}
 	c.jobs.HandlePause(suspended)
 	c.awaitHomes(now)
 	return c.Tick(now)
@@ -240,6 +244,7 @@
 	slices.SortFunc(expired, func(a, b ident.Process) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
 	for _, process := range expired {
 		delete(c.lostPeers, process)
+		c.pool.SetHomeAbsent(process, false)
 		c.applyPoolActions(now, c.pool.WithdrawTasksOf(now, process))
 	}
 }
@@ -339,7 +344,8 @@
 func (c *Core) HandleLinkUp(now time.Time, process ident.Process, dc ident.DataCentre) []Action {
 	c.groups.linked[process] = dc
 	delete(c.lostPeers, process)
-	c.pool.SetHomeAbsent(process, false)
+	// Its first heartbeat says whom it follows by now.
+	c.pool.SetHomeAbsent(process, true)
 	c.repeatWithdrawals(now, process)
 	if c.inGroup(dc) {
 		c.view.HandleLinkUp(now, process, dc)
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -259,6 +259,12 @@
 // whether an owner is known yet.
 func (v *View) Owner() (ident.Process, bool) { return v.owner, v.owner.Instance != "" }
 
+// SinceTick returns the time since the latest Tick.
+func (v *View) SinceTick(now time.Time) time.Duration { return now.Sub(v.lastTick) }
+
+// HeartbeatTimeout returns the time after which peers replace a silent owner.
+func (v *View) HeartbeatTimeout() time.Duration { return v.cfg.HeartbeatTimeout }
+
 // Isolated reports whether this instance is linked only to a minority of the
 // fleet, or was so within the last Config.RejoinDelay.
 func (v *View) Isolated() bool { return v.isolated }
--- a/internal/decide/owner/order.go
+++ b/internal/decide/owner/order.go
@@ -98,6 +98,9 @@
 		nextRun:   minRun,
 	}
 	b.tasks[index] = t
+	if !p.forgotten[t.key].IsZero() {
+		t.noteRun()
+	}
 	for _, r := range slices.Clone(p.runsByTask[t.key]) {
 		t.noteRun()
 		t.nextRun = max(t.nextRun, r.id.run+1)
@@ -217,9 +220,9 @@
 	return p.flush()
 }
 
-// SetHomeAbsent records whether the link to a home is lost. Tasks of an absent
-// home wait until it is linked again or WithdrawTasksOf is called: its callers
-// may have submitted their jobs to another group, whose runs are not seen here.
+// SetHomeAbsent records whether the link to a home is lost, or a heartbeat of it
+// is awaited. Tasks of an absent home wait: it may have placed them at another
+// owner, or its callers may have submitted their jobs again elsewhere.
 func (p *Pool) SetHomeAbsent(home ident.Process, absent bool) {
 	if absent {
 		p.absentHomes[home] = true
@@ -228,10 +231,12 @@
 	delete(p.absentHomes, home)
 }
 
+// AwaitsHomes reports whether a home is absent.
+func (p *Pool) AwaitsHomes() bool { return len(p.absentHomes) > 0 }
+
 // WithdrawTasksOf drops all tasks of a home that is gone or has placed its
 // tasks at another owner, and stops their runs.
 func (p *Pool) WithdrawTasksOf(now time.Time, home ident.Process) []Action {
-	p.SetHomeAbsent(home, false)
 	var homeBatches []*batch
 	for id, b := range p.batches {
 		if id.home == home {
--- a/internal/decide/owner/poll.go
+++ b/internal/decide/owner/poll.go
@@ -19,6 +19,8 @@
 	switch {
 	case e.ownership != ownershipHeld || e.pollFailures > 0:
 		wait = 0
+	case now.Before(p.noRenewalUntil):
+		wait = min(wait, p.noRenewalUntil.Sub(now)) // the next poll renews the lease
 	case len(e.runs) == 0:
 		wait = p.cfg.IdlePollWait
 	case now.Before(e.unreliableUntil):
@@ -38,11 +40,9 @@
 	p.actions = append(p.actions, poll)
 }
 
-// mayRenew reports whether a poll may renew the lease of the endpoint. After a
-// pause of this process it may not until the process has had time to notice that
-// it was replaced.
+// mayRenew reports whether a poll may renew the lease of the endpoint.
 func (p *Pool) mayRenew(now time.Time, e *endpoint) bool {
-	return e.pollFailures < maxRenewFailures && !now.Before(p.pausedUntil)
+	return e.pollFailures < maxRenewFailures && !now.Before(p.noRenewalUntil)
 }
 
 // maxRenewFailures is the number of unanswered polls in a row from which on
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -27,7 +27,9 @@
 	// when the pool may start tasks again after it, on endpoints that were
 	// polled since.
 	resumedAt, pausedUntil time.Time
-	group                  Group
+	// noRenewalUntil is until when polls renew no lease; see WithholdRenewals.
+	noRenewalUntil time.Time
+	group          Group
 	// owns selects the endpoints that the pool should own.
 	owns func(Endpoint) bool
 	// evacuated holds the data centres whose endpoints get no more starts.
@@ -178,6 +180,10 @@
 	}
 }
 
+// WithholdRenewals keeps polls from renewing leases until the given time, by which
+// this process notices whether it was replaced while it was paused.
+func (p *Pool) WithholdRenewals(until time.Time) { p.noRenewalUntil = until }
+
 // SetEndpoints updates the list of endpoints, which was read at readAt.
 // Endpoints that are missing from it are kept for MissingRetention, and for as
 // long as they have runs.
