--- a/internal/decide/owner/run_event_test.go
+++ b/internal/decide/owner/run_event_test.go
@@ -113,7 +113,6 @@
 			is := is.New(t)
 			h := newHarness(t, 2)
 			h.now = h.now.Add(5 * time.Second)
-			h.down["e-1"] = tt.unreachable
 			h.polls, h.runEvents = nil, nil
 			h.collect(h.pool.Activate(h.now, owner.NewFence(6, 2), func(owner.Endpoint) bool { return true }))
 			o := order("j", 1, 10_000)
@@ -122,7 +121,12 @@
 			for end := h.now.Add(tt.wait); len(h.runEvents) == 0 && !h.now.After(end); {
 				h.advance(20 * time.Millisecond)
 				h.updateList()
-				h.answerPolls()
+				if tt.unreachable {
+					h.failPollsOf("e-1")
+				} else {
+					h.answerPollsOf("e-1")
+				}
+				h.answerPollsOf("e-0")
 			}
 			is.True(len(h.runEvents) > 0)
 			is.Equal(h.runEvents[0].Event, owner.StartedAfterTakeover)
--- a/internal/decide/owner/takeover.go
+++ b/internal/decide/owner/takeover.go
@@ -65,7 +65,7 @@
 func (p *Pool) reportStart(now time.Time, t *task) {
 	var basis StartBasis
 	switch {
-	case t.foreignStartUntil.IsZero() && p.takeoverReported:
+	case t.foreignStartUntil.IsZero() && (p.takenOver || now.Sub(p.activatedAt) >= p.cfg.ForeignStartDelay):
 		return
 	case t.foreignStartUntil.IsZero():
 		basis = BasisNew
