Take endpoints back only once no peer owns any, and rename two fields

Change: it waits while a linked peer names itself as the owner. takenOver and excused are called takeoverComplete and pauseCredited. Comments that said more than holds are corrected.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -192,12 +192,13 @@
 	c.expireLostPeers(now)
 	c.applyJobActions(now, c.jobs.Tick(now))
 	if c.pool.Active() {
-		// A foreign endpoint has seen the higher fence of another owner. After a
-		// pause, what the peers have said before does not show whom they follow.
+		// A foreign endpoint has seen the higher fence of another owner, which must
+		// follow this one first. After a pause, what the peers have said before
+		// does not show whom they follow.
 		if c.pool.HasForeignEndpoints() && c.reclaimAt.IsZero() && c.view.FollowedByAll(now) {
 			c.reclaimAt = now.Add(reclaimDelay)
 		}
-		if !c.reclaimAt.IsZero() && !now.Before(c.reclaimAt) && !c.pool.AwaitsHomes() {
+		if !c.reclaimAt.IsZero() && !now.Before(c.reclaimAt) && !c.pool.AwaitsHomes() && !c.view.HasRival() {
 			c.reclaimAt = time.Time{}
 			c.applyPoolActions(now, c.pool.Reclaim(now))
 		}
--- a/internal/decide/home/placement.go
+++ b/internal/decide/home/placement.go
@@ -74,8 +74,8 @@
 	at    time.Time
 }
 
-// placementRetention is how long the placements of a closed job are kept. A run
-// of it ends within owner.Config.ForeignStartDelay.
+// placementRetention is how long the placements of a closed job are kept. It
+// exceeds owner.Config.ForeignStartDelay, by which its runs have ended as a rule.
 const placementRetention = 2 * time.Second
 
 // keepPlacements keeps the open placements of a job that is closed. Its runs may
--- a/internal/decide/leader/share.go
+++ b/internal/decide/leader/share.go
@@ -48,6 +48,17 @@
 	return true
 }
 
+// HasRival reports whether a linked peer owns endpoints as well, as far as its
+// latest heartbeat says.
+func (v *View) HasRival() bool {
+	for _, p := range v.peers {
+		if p.linked && p.ownsForItself() {
+			return true
+		}
+	}
+	return false
+}
+
 // sharesWith reports whether a peer belongs to the same part of the fleet: it is
 // linked and follows this instance, or no other owner that it hears. When a
 // network partition ends, instances that follow the owner of the other part are
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -127,10 +127,10 @@
 	// set to a later time after a pause of this process and for a grace period,
 	// so that the peer does not time out.
 	lastHeard time.Time
-	// excused is set once a pause of this process has been added to lastHeard,
+	// pauseCredited is set once a pause of this process has been added to lastHeard,
 	// until the next heartbeat: a series of pauses must not keep a lost peer
 	// linked.
-	excused bool
+	pauseCredited bool
 	// lastListed is when the store last listed the instance.
 	lastListed time.Time
 	// lastSent is when the last heartbeat was sent to the peer.
@@ -233,7 +233,7 @@
 	if p == nil || p.process != from || !p.linked {
 		return
 	}
-	p.heartbeat, p.hasHeartbeat, p.unheard, p.excused, p.lastHeard = heartbeat, true, false, false, now
+	p.heartbeat, p.hasHeartbeat, p.unheard, p.pauseCredited, p.lastHeard = heartbeat, true, false, false, now
 	v.ObserveEpoch(heartbeat.Epoch)
 	v.yieldTo(now, p)
 }
@@ -295,10 +295,10 @@
 	// pause does not count against the peers' timeouts.
 	if gap := now.Sub(v.lastTick); gap > 2*v.cfg.HeartbeatInterval {
 		for _, p := range v.peers {
-			if p.excused {
+			if p.pauseCredited {
 				continue
 			}
-			p.excused = p.lastHeard.Before(now)
+			p.pauseCredited = p.lastHeard.Before(now)
 			if p.lastHeard = p.lastHeard.Add(gap); p.lastHeard.After(now) {
 				p.lastHeard = now
 			}
--- a/internal/decide/owner/endpoint.go
+++ b/internal/decide/owner/endpoint.go
@@ -148,7 +148,7 @@
 
 // extendLease returns the lease end to request, on the endpoint's clock, and
 // records it in leaseUntil. An endpoint shortens a lease that exceeds the
-// longest one it grants.
+// longest one it grants, and ignores one that ends before an earlier one.
 func (e *endpoint) extendLease(now time.Time, lease time.Duration) EndpointTime {
 	if e.unclaimed > 0 {
 		// After the claim deadline, the homes of these runs may have placed
--- a/internal/decide/owner/forgotten.go
+++ b/internal/decide/owner/forgotten.go
@@ -18,7 +18,8 @@
 	}
 }
 
-// expireForgotten drops records of runs that have ended in any case.
+// expireForgotten drops records of runs that this pool has forgotten for
+// Config.ForeignStartDelay.
 func (p *Pool) expireForgotten(now time.Time) {
 	for key, at := range p.forgotten {
 		if now.Sub(at) >= p.cfg.ForeignStartDelay {
--- a/internal/decide/owner/ownership.go
+++ b/internal/decide/owner/ownership.go
@@ -17,7 +17,7 @@
 		fence = p.fence.addEpochs(1)
 	}
 	p.active, p.activatedAt, p.fence, p.owns = true, now, fence, owns
-	p.takenOver, p.takeoverReported = false, false
+	p.takeoverComplete, p.takeoverReported = false, false
 	for _, e := range p.sortedEndpoints {
 		e.fence = fence
 	}
--- a/internal/decide/owner/pool.go
+++ b/internal/decide/owner/pool.go
@@ -17,12 +17,12 @@
 type Pool struct {
 	cfg    Config
 	active bool
-	// activatedAt is when the pool last became active. takenOver is set once no
+	// activatedAt is when the pool last became active. takeoverComplete is set once no
 	// run of an earlier owner can be unknown; see updateTakeover.
 	// takeoverReported is set once all known endpoints have been polled since.
-	activatedAt                 time.Time
-	takenOver, takeoverReported bool
-	fence                       Fence
+	activatedAt                        time.Time
+	takeoverComplete, takeoverReported bool
+	fence                              Fence
 	// resumedAt is when the latest pause of the process ended. pausedUntil is
 	// when the pool may start tasks again after it, on endpoints that were
 	// polled since.
--- a/internal/decide/owner/takeover.go
+++ b/internal/decide/owner/takeover.go
@@ -6,24 +6,24 @@
 // reaches this owner through another home: the caller submits a job again whose
 // home it has lost. Such an order looks like that of a new job. The run shows in
 // the polls of its endpoint. It ends by Config.ForeignStartDelay after the loss
-// of its home, and the order comes Config.ResubmitDelay after that loss at the
-// earliest.
+// of its home, unless several owners that find it are lost one after the other,
+// and the order comes Config.ResubmitDelay after that loss at the earliest.
 
 // newTaskSafe reports whether a task may start that its home has not placed
 // before. It may once all known endpoints were polled since the takeover, or
 // when a run of an earlier submission must have ended.
 func (p *Pool) newTaskSafe(now time.Time, t *task) bool {
-	if p.takenOver || now.Sub(p.activatedAt) >= p.cfg.ForeignStartDelay {
+	if p.takeoverComplete || now.Sub(p.activatedAt) >= p.cfg.ForeignStartDelay {
 		return true
 	}
 	return now.Sub(t.batch.placedAt) >= p.cfg.ForeignStartDelay-p.cfg.ResubmitDelay
 }
 
-// updateTakeover sets takenOver once no known endpoint is left that may have
+// updateTakeover sets takeoverComplete once no known endpoint is left that may have
 // runs which this owner has not seen. An endpoint that refuses connections has
 // none, since its process has ended.
 func (p *Pool) updateTakeover() {
-	if p.takenOver || len(p.sortedEndpoints) == 0 {
+	if p.takeoverComplete || len(p.sortedEndpoints) == 0 {
 		return
 	}
 	for _, e := range p.sortedEndpoints {
@@ -31,7 +31,7 @@
 			return
 		}
 	}
-	p.takenOver = true
+	p.takeoverComplete = true
 }
 
 // unpolled returns the number of known endpoints that have not been polled since
@@ -65,7 +65,7 @@
 func (p *Pool) reportStart(now time.Time, t *task) {
 	var basis StartBasis
 	switch {
-	case t.foreignStartUntil.IsZero() && (p.takenOver || now.Sub(p.activatedAt) >= p.cfg.ForeignStartDelay):
+	case t.foreignStartUntil.IsZero() && (p.takeoverComplete || now.Sub(p.activatedAt) >= p.cfg.ForeignStartDelay):
 		return
 	case t.foreignStartUntil.IsZero():
 		basis = BasisNew
