--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -57,8 +57,8 @@
 
 // Action is an action for the caller of a Core to carry out: an owner.Poll,
 // owner.Start, owner.Stop, owner.RunEvent, owner.TakeoverEvent or
-// owner.RefusalEvent, a home.Answer, or a Send, CloseLink, ReadEndpoints, LayoutChanged, OwnerChanged or
-// IsolationChanged.
+// owner.RefusalEvent, a home.Answer, or a Send, CloseLink, ReadEndpoints,
+// LayoutChanged, OwnerChanged or IsolationChanged.
 type Action any
 
 // Send sends a message to a process: a Heartbeat, Orders, Withdrawal, TaskEnds,
