Tell a new owner the endpoints of a home's tasks ahead of its orders

What callers saw: a task ran twice after a data centre had been cut off twice: its run went on there, unknown to the owner of the others.

Cause: the owner inside the cut read the partial list again before it met the other owner, so that their digests agreed, and it followed that one before it told of the endpoints that it still knew.

Change: a home sends a new owner the endpoints that its list lacks, and all if the digests differ, on the stream of its orders and before them. The owner polls them before it starts the tasks.

TestNewOwnerLearnsEndpointsOfTasks fails without the change.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -149,8 +149,12 @@
 	lastOwner ident.Process
 	list      *listing.List
 	agreement agreement
-	groups    groups
-	pending   []Action
+	// listDigests holds the digests in the latest heartbeats of linked processes,
+	// and endpointsSentTo the owner that knows the endpoints of this home's tasks.
+	listDigests     map[ident.Process]uint64
+	endpointsSentTo ident.Process
+	groups          groups
+	pending         []Action
 }
 
 // New returns the core of a process that starts now. It returns an error when
@@ -160,7 +164,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	c := &Core{cfg: cfg, self: cfg.Leader.Self, lostPeers: map[ident.Process]time.Time{}, released: map[ident.Process]uint64{}, list: listing.New(cfg.Listing)}
+	c := &Core{cfg: cfg, self: cfg.Leader.Self, lostPeers: map[ident.Process]time.Time{}, released: map[ident.Process]uint64{}, listDigests: map[ident.Process]uint64{}, list: listing.New(cfg.Listing)}
 	c.jobs = home.New(c.linked)
 	c.groups.linked, c.groups.layouts = map[ident.Process]ident.DataCentre{}, map[ident.Process]group.Layout{}
 	var err error
@@ -296,6 +300,9 @@
 	}
 	c.groups.changed = false
 	c.jobs.SetWhole(c.groups.decider.Layout() == group.Whole || c.groups.layouts[ownerProcess] == group.Whole)
+	if known && c.view.Linked(ownerProcess) {
+		c.sendKnownEndpoints(now, ownerProcess)
+	}
 	c.applyJobActions(now, c.jobs.SetOwner(now, ownerProcess, known && (isOwner || c.view.Linked(ownerProcess))))
 }
 
@@ -334,6 +341,10 @@
 	delete(c.groups.linked, process)
 	delete(c.groups.layouts, process)
 	delete(c.released, process)
+	delete(c.listDigests, process)
+	if c.endpointsSentTo == process {
+		c.endpointsSentTo = ident.Process{}
+	}
 	c.applyJobActions(now, c.jobs.HandleLinkDown(now, process))
 	c.list.HandleLinkDown(process)
 	c.agreement.forget(process)
@@ -378,6 +389,7 @@
 		c.view.HandleHeartbeat(now, from, m.Heartbeat)
 		c.noteHeard(now, from)
 		c.groups.layouts[from] = m.Layout
+		c.listDigests[from] = m.ListDigest
 		if m.Owner.Instance != "" && m.Owner != c.self {
 			c.releaseOrders(now, from, m.LastPlacement)
 		}
--- a/internal/decide/dispatcher/endpoints.go
+++ b/internal/decide/dispatcher/endpoints.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// sendKnownEndpoints sends a new owner the endpoints that it may not know, ahead
+// of the orders of this home: earlier owners may have started the tasks there.
+// It gets the endpoints that the list of this instance lacks, and the listed ones
+// if its own list differs.
+func (c *Core) sendKnownEndpoints(now time.Time, to ident.Process) {
+	if c.endpointsSentTo == to {
+		return
+	}
+	c.endpointsSentTo = to
+	known := c.pool.UnlistedEndpoints()
+	if c.list.Known() && c.listDigests[to] != c.list.Digest() {
+		known = slices.Concat(known, c.list.Endpoints())
+	}
+	if len(known) > 0 {
+		c.pending = append(c.pending, Send{To: to, Message: listing.Snapshot{Age: listing.NoList, Missing: known}})
+	}
+}
+
 // receiveList takes over a list that a peer sent. Endpoints that its sender
 // polls and that the newer list lacks may have runs; the pool polls them, too,
 // if it becomes active.
--- a/internal/decide/dispatcher/partial_list_test.go
+++ b/internal/decide/dispatcher/partial_list_test.go
@@ -3,6 +3,16 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/job"
+	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
+	"hornbeamlift.example/hornbeamlift/internal/decide/group"
+	"hornbeamlift.example/hornbeamlift/internal/decide/home"
+	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
+	"hornbeamlift.example/hornbeamlift/internal/decide/listing"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
 )
 
 // restartOthers starts all instances but the given ones again, so that they rank
@@ -90,3 +100,38 @@
 	}
 	f.run(4 * time.Second)
 }
+
+// TestNewOwnerLearnsEndpointsOfTasks guards against a new owner that does not
+// know an endpoint where an earlier owner has started a task, because the entry
+// has left the list: the home tells it before it places the task there.
+func TestNewOwnerLearnsEndpointsOfTasks(t *testing.T) {
+	is := is.New(t)
+	c := newOwnerCore(t)
+	spec := job.Spec{ID: "j", Steps: []job.Step{{Tasks: 1, Needs: job.Needs{Room: job.Room{CPU: 1000, Memory: 1}}}}}
+	c.collect(c.core.Submit(c.now, 1, spec, home.RouteSettings{Service: service, Attempts: 1}, 10*time.Second))
+	is.Equal(len(c.starts), 1)
+	other := c.fake.Entry
+	other.ID = "e-1"
+	actions, _ := c.core.UpdateEndpoints(c.now, []owner.Endpoint{other}) // e-0 has left the list
+	c.collect(actions)
+	m := dispatcher.Heartbeat{Heartbeat: leader.Heartbeat{Owner: c.home, Followers: 5}, Layout: group.Whole}
+	c.collect(c.core.Receive(c.now, c.home, m))
+	c.now = c.now.Add(25 * time.Millisecond)
+	told := false
+	for _, a := range c.core.Tick(c.now) {
+		s, ok := a.(dispatcher.Send)
+		if !ok {
+			continue
+		}
+		switch message := s.Message.(type) {
+		case listing.Snapshot:
+			for _, e := range message.Missing {
+				told = told || e.ID == "e-0"
+			}
+		case dispatcher.Orders:
+			is.True(told) // on the same stream, so that it arrives first
+			return
+		}
+	}
+	t.Fatal("the task is not placed at the new owner")
+}
--- a/internal/decide/owner/missing.go
+++ b/internal/decide/owner/missing.go
@@ -29,6 +29,17 @@
 	return missing
 }
 
+// UnlistedEndpoints returns the known endpoints that the list lacks.
+func (p *Pool) UnlistedEndpoints() []Endpoint {
+	var unlisted []Endpoint
+	for _, e := range p.sortedEndpoints {
+		if !e.missingSince.IsZero() {
+			unlisted = append(unlisted, e.Endpoint)
+		}
+	}
+	return unlisted
+}
+
 // mayHaveRuns reports whether an endpoint has runs or may have some that the
 // pool has not seen.
 func (p *Pool) mayHaveRuns(now time.Time, e *endpoint) bool {
