--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -301,7 +301,7 @@
 	c.groups.changed = false
 	c.jobs.SetWhole(c.groups.decider.Layout() == group.Whole || c.groups.layouts[ownerProcess] == group.Whole)
 	if known && c.view.Linked(ownerProcess) {
-		c.sendKnownEndpoints(now, ownerProcess)
+		c.sendKnownEndpoints(ownerProcess)
 	}
 	c.applyJobActions(now, c.jobs.SetOwner(now, ownerProcess, known && (isOwner || c.view.Linked(ownerProcess))))
 }
--- a/internal/decide/dispatcher/endpoints.go
+++ b/internal/decide/dispatcher/endpoints.go
@@ -95,7 +95,7 @@
 // of the orders of this home: earlier owners may have started the tasks there.
 // It gets the endpoints that the list of this instance lacks, and the listed ones
 // if its own list differs.
-func (c *Core) sendKnownEndpoints(now time.Time, to ident.Process) {
+func (c *Core) sendKnownEndpoints(to ident.Process) {
 	if c.endpointsSentTo == to {
 		return
 	}
