--- a/internal/process/dispatch/wire_test.go
+++ b/internal/process/dispatch/wire_test.go
@@ -24,14 +24,15 @@
 }
 
 // TestListSurvivesWire guards against a peer that does not see that its list
-// differs from the owner's, or gets no endpoints that the owner's list lacks.
+// differs from the owner's, gets no endpoints that the owner's list lacks, or does
+// not learn what is released.
 func TestListSurvivesWire(t *testing.T) {
 	room := job.Room{CPU: 1, Memory: 2, GPU: 3}
 	endpoint := func(id string) []owner.Endpoint {
 		return []owner.Endpoint{{ID: ident.EndpointID(id), Address: "a:1", DataCentre: "dc", Room: room, Incarnation: 7}}
 	}
 	tests := map[string]any{
-		"heartbeat": dispatcher.Heartbeat{ListAge: time.Second, ListDigest: 1<<63 + 5},
+		"heartbeat": dispatcher.Heartbeat{ListAge: time.Second, ListDigest: 1<<63 + 5, LastPlacement: 9, Released: 8},
 		"list":      listing.Snapshot{Endpoints: endpoint("e-1"), Age: time.Second, Missing: endpoint("e-2")},
 		"missing":   listing.Snapshot{Endpoints: []owner.Endpoint{}, Age: listing.NoList, Missing: endpoint("e-2")},
 	}
