Log how current the configuration is, and requests that no route matches

A request that was refused by its route had no line, and a version that arrived no record of when it was first heard of, so that logs could not tell a store whose answers lack a change from one that turns instances away. No decision changes.

--- a/internal/adapter/logread/history.go
+++ b/internal/adapter/logread/history.go
@@ -26,6 +26,7 @@
 	"another instance owns the endpoints": true, "peer is silent": true, "link to peer is down": true,
 	"the process was paused": true, "isolation has changed": true,
 	"dependency lost": true, "dependency regained": true, "configuration in force": true,
+	"a peer has a newer configuration": true,
 }
 
 const (
--- a/internal/process/dispatch/jobs.go
+++ b/internal/process/dispatch/jobs.go
@@ -36,6 +36,7 @@
 	}
 	r, rest, ok := c.routes.Match(host, path)
 	if !ok {
+		j.process.logNoRoute(host, path)
 		return Match{}, fault.New(fault.UnknownService, fault.RanNo).WithField("path")
 	}
 	return Match{Route: r, Rest: rest, BodyLimit: c.routes.BodyLimit, ConfigVersion: c.routes.Version}, nil
--- a/internal/process/dispatch/operator.go
+++ b/internal/process/dispatch/operator.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 )
@@ -65,6 +67,11 @@
 			p.sleep(storeRetryDelay)
 			continue
 		}
+		p.configTrace.handleAnswer(p.settings.Clock.Now())
+		if update.Whole || update.Config != nil {
+			p.log.WithFields(logrus.Fields{"whole": update.Whole, "after": revision, "revision": update.Revision, "config": update.Config != nil}).
+				Info("read what the operator has written")
+		}
 		revision = update.Revision
 		next, changed := evacuated.apply(update)
 		if evacuated = next; changed {
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -57,9 +57,7 @@
 func (p *Process) send(s dispatcher.Send) {
 	m := encode(s.Message)
 	if heartbeat := m.GetPulse(); heartbeat != nil {
-		if c := p.config.Load(); c != nil {
-			heartbeat.ConfigVersion = c.routes.Version
-		}
+		heartbeat.ConfigVersion = p.configVersion()
 	}
 	if !p.mesh.Send(s.To.Instance, s.To.Incarnation, s.Urgent, m) {
 		p.counters.messagesUnsent.Inc()
@@ -90,10 +88,8 @@
 // fetchConfig asks a peer for its configuration if that is newer than the active
 // one and the store has not sent it.
 func (p *Process) fetchConfig(now time.Time, from ident.Process, version uint64) {
-	var own uint64
-	if c := p.config.Load(); c != nil {
-		own = c.routes.Version
-	}
+	p.logNewerVersion(now, string(from.Instance), version)
+	own := p.configVersion()
 	if !p.configFetcher.Observe(now, own, version) {
 		return
 	}
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -34,8 +34,9 @@
 	// posts queues functions that loop runs.
 	posts chan func(now time.Time)
 	// config is nil until a configuration has been read.
-	config   atomic.Pointer[activeConfig]
-	draining atomic.Bool
+	config      atomic.Pointer[activeConfig]
+	configTrace configTrace
+	draining    atomic.Bool
 	// readListNow wakes runEndpointList.
 	readListNow chan struct{}
 	// ownerKnown is set while some instance is known to own the endpoints.
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -22,6 +22,7 @@
 	takeovers      *metrics.Counter
 	storeFailures  *metrics.Counter
 	messagesUnsent *metrics.Counter
+	noRoute        *metrics.Counter
 	tickInterval   *metrics.Histogram
 	jobDuration    *metrics.Histogram
 }
@@ -39,6 +40,7 @@
 		takeovers:      p.metrics.NewCounter("hornbeamlift_takeovers_total"),
 		storeFailures:  p.metrics.NewCounter("hornbeamlift_store_failures_total"),
 		messagesUnsent: p.metrics.NewCounter("hornbeamlift_messages_unsent_total"),
+		noRoute:        p.metrics.NewCounter("hornbeamlift_requests_without_route_total"),
 		tickInterval:   p.metrics.NewHistogram("hornbeamlift_tick_interval_seconds"),
 		jobDuration:    p.metrics.NewHistogram("hornbeamlift_job_seconds"),
 	}
@@ -87,6 +89,7 @@
 	}
 	if c := p.config.Load(); c != nil {
 		gauge("hornbeamlift_config_version", float64(c.routes.Version))
+		gauge("hornbeamlift_config_answer_age_seconds", p.configTrace.answerAge(p.settings.Clock.Now()).Seconds())
 	}
 }
 
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -18,28 +18,6 @@
 // the call that revokes the lease when the process ends.
 const storeRetryDelay = 200 * time.Millisecond
 
-// activateConfig decodes a configuration and makes it the active one, unless
-// the active one has the same or a higher version.
-func (p *Process) activateConfig(content []byte, source string) {
-	routes, err := p.ports.ParseConfig(content)
-	if err != nil {
-		p.log.WithError(err).WithField("source", source).Error("cannot decode the configuration")
-		return
-	}
-	next := &activeConfig{routes: routes, content: slices.Clone(content)}
-	for {
-		old := p.config.Load()
-		if old != nil && old.routes.Version >= routes.Version {
-			return
-		}
-		if p.config.CompareAndSwap(old, next) {
-			break
-		}
-	}
-	// Package logread matches this message.
-	p.log.WithFields(logrus.Fields{"version": routes.Version, "routes": routes.Routes(), "source": source}).Info("configuration in force")
-}
-
 // runMembership keeps this instance's key in the store and reads the members at
 // each MemberInterval. It revokes the lease of the key when ctx ends.
 func (p *Process) runMembership(ctx context.Context) error {
