Reproduce late configurations in simulated fleets, failing

What callers saw: a request is answered as an older version says. The path from the store to the routes was played by single tests only. The mesh opens connections through peer.Network, TCP by default. No decision changes.

--- a/internal/adapter/peer/config.go
+++ b/internal/adapter/peer/config.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -49,6 +50,29 @@
 	// DialGrace is how long the instance with the higher id waits for the
 	// other to dial. It then dials itself, because the other may not know it.
 	DialGrace time.Duration
+	// Network opens the connections; by default, over TCP.
+	Network Network
+}
+
+// Network listens for connections and opens them. A nil field stands for TCP.
+type Network struct {
+	Listen func(ctx context.Context, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// withTCP returns n with TCP in place of its nil fields.
+func (n Network) withTCP() Network {
+	if n.Listen == nil {
+		n.Listen = func(ctx context.Context, address string) (net.Listener, error) {
+			return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		}
+	}
+	if n.Dial == nil {
+		n.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	}
+	return n
 }
 
 // Defaults returns cfg with its zero fields set to their defaults.
@@ -69,6 +93,7 @@
 	setDuration(&cfg.RedialMin, 50*time.Millisecond)
 	setDuration(&cfg.RedialMax, 5*time.Second)
 	setDuration(&cfg.DialGrace, 2*time.Second)
+	cfg.Network = cfg.Network.withTCP()
 	return cfg
 }
 
--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
@@ -116,7 +115,9 @@
 	m.mu.RLock()
 	address := d.address
 	m.mu.RUnlock()
-	conn, err := (&net.Dialer{Timeout: m.cfg.DialTimeout}).DialContext(ctx, "tcp", address)
+	dialCtx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout)
+	conn, err := m.cfg.Network.Dial(dialCtx, address)
+	cancel()
 	if err != nil {
 		m.stats.DialFailures.Add(1)
 		return
--- a/internal/adapter/peer/mesh.go
+++ b/internal/adapter/peer/mesh.go
@@ -88,7 +88,7 @@
 // the mesh have exited. It returns an error of kind fault.SettingsInvalid if it
 // cannot listen. It must be called only once.
 func (m *Mesh) Run(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", m.cfg.ListenAddress)
+	listener, err := m.cfg.Network.Listen(ctx, m.cfg.ListenAddress)
 	if err != nil {
 		return fault.Wrap(err, fault.SettingsInvalid, fault.RanNo).WithField("listen-address")
 	}
--- /dev/null
+++ b/internal/process/dispatch/config_test.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// startConfigured starts a fleet with version 1 in force.
+func startConfigured(t *testing.T, shape simShape) *simFleet {
+	f := newSimFleet(t, 1, shape, io.Discard)
+	t.Cleanup(f.close)
+	f.store.put(1)
+	time.Sleep(5 * time.Second)
+	for _, in := range f.instances {
+		if in.version() != 1 {
+			t.Fatalf("%s has version %d", in.id, in.version())
+		}
+	}
+	return f
+}
+
+// TestWatchesThatHearNothing guards against a change that no instance takes
+// while the watches of the store return no changes.
+func TestWatchesThatHearNothing(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 2, perDC: 2})
+		f.store.setDeaf(time.Now().Add(time.Minute))
+		f.store.put(2)
+		time.Sleep(configBound)
+		for _, in := range f.instances {
+			is.Equal(in.version(), uint64(2))
+		}
+	})
+}
+
+// TestChangeLeftOutByWatch guards against a change that no instance takes since
+// a watch has returned a later change of another key without it.
+func TestChangeLeftOutByWatch(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 1, perDC: 1})
+		f.store.put(2)
+		f.store.hideLatest()
+		f.store.put(0)
+		time.Sleep(configBound)
+		is.Equal(f.instances[0].version(), uint64(2))
+	})
+}
+
+// TestStoreRefusesDataCentre guards against instances of a divided fleet that
+// ask nobody outside their data centre for the configuration while the store
+// turns the whole data centre away.
+func TestStoreRefusesDataCentre(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 2, perDC: 3, divided: true})
+		for _, in := range f.instances {
+			if in.dc == "dc0" {
+				f.store.setMode(in.id, storeIsSilent)
+			}
+		}
+		time.Sleep(stability)
+		f.store.put(2)
+		time.Sleep(dividedConfigBound)
+		for _, in := range f.instances {
+			is.Equal(in.version(), uint64(2))
+		}
+	})
+}
+
+// TestOwnerBehindHomes guards against an owner that starts tasks of a newer
+// configuration for other instances, and itself answers as an older one says.
+func TestOwnerBehindHomes(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 2, perDC: 2})
+		o := f.instance(f.instances[0].owner())
+		f.store.setMode(o.id, storeRefuses)
+		time.Sleep(time.Second)
+		f.store.put(2)
+		time.Sleep(20*time.Millisecond + configSkew)
+		for _, in := range f.instances {
+			is.Equal(in.version(), uint64(2))
+		}
+	})
+}
+
+// TestReadSlowerThanTimeout guards against an instance that never reads a
+// configuration which takes longer than the time-out of a call, and so begins
+// again and again.
+func TestReadSlowerThanTimeout(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 1, perDC: 1})
+		f.store.setReadTime(1500 * time.Millisecond)
+		f.store.setMode(f.instances[0].id, storeRefuses)
+		f.store.put(2)
+		time.Sleep(time.Second)
+		f.store.forgetHistory()
+		f.store.setMode(f.instances[0].id, storeServes)
+		time.Sleep(stability + configBound)
+		is.Equal(f.instances[0].version(), uint64(2))
+	})
+}
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -107,6 +107,7 @@
 		Self: p.self, DataCentre: settings.DataCentre, ListenAddress: settings.PeerAddress, Address: settings.PeerAddress,
 		Token: settings.Token, Clock: settings.Clock, LocalInterval: linkTimeout / 2, RemoteInterval: linkTimeout / 2, MaxSilentIntervals: 2,
 		DialTimeout: dialTimeout, RedialMax: redialMax, DialGrace: dialGrace, WriteTimeout: linkTimeout,
+		Network: settings.PeerNetwork,
 	})
 	if err != nil {
 		return nil, err
@@ -165,12 +166,10 @@
 		c, cancel := context.WithCancel(processCtx)
 		g.Add(func() error { return f(c) }, func(error) { cancel() })
 	}
-	add(p.runOperator)
-	add(p.runMembership)
-	add(p.runEndpointList)
 	add(p.runReload)
-	add(p.mesh.Run)
-	add(p.loop)
+	for _, f := range p.background() {
+		add(f)
+	}
 	// Package logread matches this message.
 	p.log.WithFields(logrus.Fields{
 		"incarnation": p.self.Incarnation, "caller-address": p.settings.CallerAddress, "store-address": p.settings.StoreAddress,
@@ -185,6 +184,12 @@
 	return nil
 }
 
+// background returns the functions that exchange what the instance knows with
+// the store and the peers, and decide on it. They run until their context ends.
+func (p *Process) background() []func(context.Context) error {
+	return []func(context.Context) error{p.runOperator, p.runMembership, p.runEndpointList, p.mesh.Run, p.loop}
+}
+
 const (
 	// headerTimeout bounds the wait for a request's header, and idleTimeout the
 	// wait for the next request on a connection.
--- a/internal/process/dispatch/settings.go
+++ b/internal/process/dispatch/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
 	"hornbeamlift.example/hornbeamlift/internal/core/clock"
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
@@ -58,7 +59,9 @@
 	// the machine is suspended. Only differences between readings are used.
 	SinceBoot func() time.Duration
 	Clock     clock.Clock
-	Log       *logrus.Logger
+	// PeerNetwork opens the connections to peers; by default, over TCP.
+	PeerNetwork peer.Network
+	Log         *logrus.Logger
 }
 
 // Defaults returns s with its zero fields set to their defaults.
--- /dev/null
+++ b/internal/process/dispatch/sim_store_test.go
@@ -0,0 +1,291 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/owner"
+)
+
+// storeMode is how the store treats the calls of an instance.
+type storeMode int
+
+const (
+	storeServes storeMode = iota
+	storeRefuses
+	storeIsSilent
+	storeModes
+)
+
+// simChange is a change of a key that the operator writes. Version is zero for
+// keys other than the configuration.
+type simChange struct {
+	revision StoreRevision
+	version  uint64
+	at       time.Time
+	// unseen keeps the change out of the answers of watches.
+	unseen bool
+}
+
+// simStore is the platform's store as the process sees it through its ports.
+type simStore struct {
+	mu       sync.Mutex
+	revision StoreRevision
+	changes  []simChange
+	// oldest is the revision up to which the history is forgotten.
+	oldest StoreRevision
+	// deafUntil is until when watches hear nothing.
+	deafUntil time.Time
+	modes     map[ident.InstanceID]storeMode
+	members   map[ident.InstanceID]simMember
+	endpoints []EndpointRow
+	// readTime is how long a read of all that the operator has written takes.
+	readTime time.Duration
+}
+
+type simMember struct {
+	Member
+	expires time.Time
+}
+
+const (
+	simStoreLatency = 2 * time.Millisecond
+	simMemberTTL    = 5 * time.Second
+)
+
+func newSimStore(endpoints int, dcs []ident.DataCentre) *simStore {
+	s := &simStore{revision: 1, modes: map[ident.InstanceID]storeMode{}, members: map[ident.InstanceID]simMember{}}
+	for i := range endpoints {
+		id := ident.EndpointID(fmt.Sprintf("e%d", i))
+		s.endpoints = append(s.endpoints, EndpointRow{ID: id, Endpoint: owner.Endpoint{
+			ID: id, Service: "render", Address: "127.0.0.1:1", DataCentre: dcs[i%len(dcs)], Incarnation: 1,
+		}})
+	}
+	return s
+}
+
+// put writes the next version of the configuration, or another key of the
+// operator if version is zero.
+func (s *simStore) put(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.changes = append(s.changes, simChange{revision: s.revision, version: version, at: time.Now()})
+}
+
+// forgetHistory drops the history of all changes so far.
+func (s *simStore) forgetHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.revision
+}
+
+// hideLatest keeps the latest change out of the answers of watches.
+func (s *simStore) hideLatest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.changes); n > 0 {
+		s.changes[n-1].unseen = true
+	}
+}
+
+func (s *simStore) setDeaf(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deafUntil = until
+}
+
+func (s *simStore) setMode(id ident.InstanceID, mode storeMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.modes[id] = mode
+}
+
+func (s *simStore) serves(id ident.InstanceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.modes[id] == storeServes
+}
+
+// revoke removes the key of an instance.
+func (s *simStore) revoke(id ident.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.members, id)
+}
+
+// newest returns the newest version that was written at or before a time.
+func (s *simStore) newest(at time.Time) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var version uint64
+	for _, c := range s.changes {
+		if !c.at.After(at) {
+			version = max(version, c.version)
+		}
+	}
+	return version
+}
+
+// arrive delays a call of an instance and fails it as the store's mode says.
+func (s *simStore) arrive(ctx context.Context, id ident.InstanceID) error {
+	time.Sleep(simStoreLatency)
+	s.mu.Lock()
+	mode := s.modes[id]
+	s.mu.Unlock()
+	switch mode {
+	case storeRefuses:
+		return fault.New(fault.StoreUnavailable, fault.RanNo).WithDetail("unexpected status from the store: 503")
+	case storeIsSilent:
+		<-ctx.Done()
+		return fault.Wrap(ctx.Err(), fault.StoreUnavailable, fault.RanUnknown)
+	}
+	return nil
+}
+
+// transfer takes as long as a read of all that the operator has written.
+func (s *simStore) transfer(ctx context.Context) error {
+	s.mu.Lock()
+	d := s.readTime
+	s.mu.Unlock()
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.StoreUnavailable, fault.RanUnknown)
+	}
+}
+
+func (s *simStore) setReadTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readTime = d
+}
+
+func configContent(version uint64) []byte { return []byte(fmt.Sprintf("v%d", version)) }
+
+func (s *simStore) operator(ctx context.Context, id ident.InstanceID) (OperatorUpdate, error) {
+	if err := s.arrive(ctx, id); err != nil {
+		return OperatorUpdate{}, err
+	}
+	if err := s.transfer(ctx); err != nil {
+		return OperatorUpdate{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	update := OperatorUpdate{Whole: true, Revision: s.revision}
+	for _, c := range s.changes {
+		if c.version > 0 {
+			update.Config = configContent(c.version)
+		}
+	}
+	return update, nil
+}
+
+// watchOperator answers like platform.Store: with the changes after a revision,
+// and with the revision of the last one of them to continue from.
+func (s *simStore) watchOperator(ctx context.Context, id ident.InstanceID, after StoreRevision, wait time.Duration) (OperatorUpdate, error) {
+	if err := s.arrive(ctx, id); err != nil {
+		return OperatorUpdate{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+	defer cancel()
+	for deadline := time.Now().Add(wait); ; time.Sleep(2 * time.Millisecond) {
+		if !s.serves(id) {
+			return OperatorUpdate{}, s.arrive(ctx, id)
+		}
+		update, err := s.changesAfter(after)
+		if err != nil || update.Revision > after || !time.Now().Before(deadline) {
+			return update, err
+		}
+		if ctx.Err() != nil {
+			return OperatorUpdate{}, fault.Wrap(ctx.Err(), fault.StoreUnavailable, fault.RanUnknown)
+		}
+	}
+}
+
+func (s *simStore) changesAfter(after StoreRevision) (OperatorUpdate, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	update := OperatorUpdate{Revision: after}
+	if time.Now().Before(s.deafUntil) {
+		return update, nil
+	}
+	if after < s.oldest {
+		return update, fault.New(fault.StoreConflict, fault.RanNo)
+	}
+	for _, c := range s.changes {
+		if c.revision <= after || c.unseen {
+			continue
+		}
+		update.Revision = c.revision
+		if c.version > 0 {
+			update.Config = configContent(c.version)
+		}
+	}
+	return update, nil
+}
+
+func (s *simStore) memberUpdate(ctx context.Context, id ident.InstanceID) (MemberUpdate, error) {
+	if err := s.arrive(ctx, id); err != nil {
+		return MemberUpdate{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	update := MemberUpdate{Whole: true, Revision: s.revision}
+	for _, m := range s.members {
+		if time.Now().Before(m.expires) {
+			update.Rows = append(update.Rows, MemberRow{Instance: m.Process.Instance, Member: m.Member})
+		}
+	}
+	return update, nil
+}
+
+// renew extends the lease of an instance's key.
+func (s *simStore) renew(ctx context.Context, id ident.InstanceID) (bool, error) {
+	if err := s.arrive(ctx, id); err != nil {
+		return false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[id]
+	if ok {
+		m.expires = time.Now().Add(simMemberTTL)
+		s.members[id] = m
+	}
+	return ok, nil
+}
+
+func (s *simStore) register(ctx context.Context, m Member) (bool, error) {
+	if err := s.arrive(ctx, m.Process.Instance); err != nil {
+		return false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members[m.Process.Instance] = simMember{Member: m, expires: time.Now().Add(simMemberTTL)}
+	return true, nil
+}
+
+// ports returns the store as an instance reaches it.
+func (s *simStore) ports(id ident.InstanceID) Store {
+	return Store{
+		Operator: func(ctx context.Context) (OperatorUpdate, error) { return s.operator(ctx, id) },
+		WatchOperator: func(ctx context.Context, after StoreRevision, wait time.Duration) (OperatorUpdate, error) {
+			return s.watchOperator(ctx, id, after, wait)
+		},
+		Endpoints: func(ctx context.Context, _ StoreRevision) (EndpointUpdate, error) {
+			return EndpointUpdate{Whole: true, Rows: s.endpoints, Revision: 1}, s.arrive(ctx, id)
+		},
+		Members: func(ctx context.Context, _ StoreRevision) (MemberUpdate, error) { return s.memberUpdate(ctx, id) },
+		GrantLease: func(ctx context.Context, _ time.Duration) (LeaseID, error) {
+			return 1, s.arrive(ctx, id)
+		},
+		RenewLease:  func(ctx context.Context, _ LeaseID) (bool, error) { return s.renew(ctx, id) },
+		Register:    func(ctx context.Context, m Member, _ LeaseID) (bool, error) { return s.register(ctx, m) },
+		RevokeLease: func(context.Context, LeaseID) error { return nil },
+	}
+}
