Go on with the changes after one that cannot be read

What callers would see: no change in force any more once a value is not base64, until the store drops its history. Shown in a test only; the store accepts valid manifests. Cause: one value that cannot be read failed the whole answer, and the watch began again at the same revision. Change: the update names the unreadable value, which is logged, and holds the others.

--- a/internal/process/dispatch/operator.go
+++ b/internal/process/dispatch/operator.go
@@ -21,10 +21,12 @@
 
 // OperatorUpdate is what the operator has written: all of it if Whole is set,
 // and otherwise what has changed. Config is nil if there is none or it has not
-// changed. Revision is the one to watch from.
+// changed. Invalid says why the newest one cannot be read, if it cannot.
+// Revision is the one to watch from.
 type OperatorUpdate struct {
 	Whole       bool
 	Config      []byte
+	Invalid     error
 	Evacuations []Evacuation
 	Revision    StoreRevision
 }
@@ -77,6 +79,9 @@
 		if evacuated = next; changed {
 			p.evacuate(next)
 		}
+		if update.Invalid != nil {
+			p.log.WithError(update.Invalid).Error("cannot read the configuration")
+		}
 		switch {
 		case update.Config != nil:
 			p.activateConfig(update.Config, "store")
