Compare the configuration with the store's although the watch is quiet

What callers saw, if this was it: 404 for a route that had been added, on all instances alike, with no error in any log. Cause: an empty answer of a watch was taken for 'nothing has changed'. Class of fault: a notification that is trusted alone. Change: an instance knows as of when its version was the store's newest: since a whole read by itself or a peer. Heartbeats carry the age (Pulse.config_age). From 0.7 s on the owner asks one instance at a time to read the whole, and from 1 to 1.4 s on each one reads by itself. The decisions are in decide/configsync. Reads and watches may overtake each other, so evacuations go by revisions now; they were hidden by the same fault. A content that is in force, or that could not be decoded, is not decoded again. Cost: one whole read in 0.7 to 1 s for a group, whatever its size.

--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -479,6 +479,9 @@
 // Epoch returns the highest epoch seen so far.
 func (c *Core) Epoch() uint64 { return c.view.Epoch() }
 
+// Peers returns the linked processes of this instance's group.
+func (c *Core) Peers() []ident.Process { return c.view.Peers() }
+
 // IsOwner reports whether this instance acts as the owner of the endpoints.
 func (c *Core) IsOwner() bool { return c.pool.Active() }
 
--- a/internal/process/dispatch/config.go
+++ b/internal/process/dispatch/config.go
@@ -1,11 +1,17 @@
 package dispatch
 
 import (
+	"bytes"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
+	"hornbeamlift.example/hornbeamlift/internal/decide/configsync"
+	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
 // configTrace records how current the configuration is, for logs and metrics.
@@ -62,12 +68,21 @@
 }
 
 // activateConfig decodes a configuration and makes it the active one, unless
-// the active one has the same or a higher version.
-func (p *Process) activateConfig(content []byte, source string) {
+// the active one has the same or a higher version. It reports whether the
+// content can be decoded.
+func (p *Process) activateConfig(content []byte, source string) bool {
+	if c := p.config.Load(); c != nil && bytes.Equal(c.content, content) {
+		return true
+	}
+	if rejected := p.rejectedConfig.Load(); rejected != nil && bytes.Equal(*rejected, content) {
+		return false
+	}
 	routes, err := p.ports.ParseConfig(content)
 	if err != nil {
+		rejected := slices.Clone(content)
+		p.rejectedConfig.Store(&rejected)
 		p.log.WithError(err).WithField("source", source).Error("cannot decode the configuration")
-		return
+		return false
 	}
 	next := &activeConfig{routes: routes, content: slices.Clone(content)}
 	var previous uint64
@@ -77,7 +92,7 @@
 			previous = old.routes.Version
 		}
 		if previous >= routes.Version {
-			return
+			return true
 		}
 		if p.config.CompareAndSwap(old, next) {
 			break
@@ -89,6 +104,7 @@
 		"version": routes.Version, "previous": previous, "routes": routes.Routes(), "source": source,
 		"after-peers": p.configTrace.delay(now, routes.Version).Round(time.Millisecond).String(),
 	}).Info("configuration in force")
+	return true
 }
 
 // logNewerVersion logs a version that a peer reports and that is above the
@@ -120,3 +136,52 @@
 	}
 	return 0
 }
+
+// tickConfig starts a read of the configuration if one is due. While watches
+// fail, reads would fail as well.
+func (p *Process) tickConfig(now time.Time) {
+	if p.watching.Load() && p.configSync.Tick(now, p.core.IsOwner(), p.core.Peers()) {
+		p.readOperatorNow <- struct{}{}
+	}
+}
+
+// handleConfigReport handles the version that a peer has in force and its age.
+func (p *Process) handleConfigReport(now time.Time, from ident.Process, version uint64, age time.Duration) {
+	if age != configsync.UnknownAge {
+		p.configSync.Observe(now.Add(-age), version, p.configVersion())
+	}
+	p.fetchConfig(now, from, version)
+}
+
+// readConfigFor reads the configuration for a peer, which is sent the result in
+// a notice.
+func (p *Process) readConfigFor(now time.Time, from ident.Process) {
+	if !p.watching.Load() || !p.configSync.StartRead(now) {
+		return
+	}
+	p.noticeTo = from
+	p.readOperatorNow <- struct{}{}
+}
+
+// encodeAge converts the age of the configuration to the peer protocol, and
+// decodeAge back.
+func encodeAge(age time.Duration) uint32 {
+	if age.Milliseconds() >= math.MaxUint32 {
+		return 0
+	}
+	return uint32(age.Milliseconds()) + 1
+}
+
+func decodeAge(age uint32) time.Duration {
+	if age == 0 {
+		return configsync.UnknownAge
+	}
+	return time.Duration(age-1) * time.Millisecond
+}
+
+// noticeMessage returns a message with the version in force and its age.
+func (p *Process) noticeMessage(now time.Time) *peerpb.Message {
+	return &peerpb.Message{Body: &peerpb.Message_ConfigNotice{ConfigNotice: &peerpb.ConfigNotice{
+		Version: p.configVersion(), Age: encodeAge(p.configSync.Age(now)),
+	}}}
+}
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -42,6 +42,7 @@
 	suspended := max(0, elapsed-monotonic)
 	// Package logread matches this message.
 	p.log.WithFields(logrus.Fields{"steady": monotonic.String(), "uncounted": suspended.String()}).Warn("the process was paused")
+	p.configSync.HandlePause(suspended)
 	p.applyActions(now, p.core.HandlePause(now, suspended))
 	return now
 }
@@ -55,6 +56,7 @@
 	}
 	p.lastTick = now
 	p.applyActions(now, p.core.Tick(now))
+	p.tickConfig(now)
 	p.ownerKnown.Store(p.core.OwnerKnown())
 	if p.core.IsOwner() && now.Sub(p.lastStateLog) >= stateInterval {
 		p.lastStateLog = now
--- a/internal/process/dispatch/operator.go
+++ b/internal/process/dispatch/operator.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
+	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 )
@@ -17,6 +15,7 @@
 type Evacuation struct {
 	DataCentre ident.DataCentre
 	Ended      bool
+	Revision   StoreRevision
 }
 
 // OperatorUpdate is what the operator has written: all of it if Whole is set,
@@ -31,23 +30,53 @@
 	Revision    StoreRevision
 }
 
-// evacuations holds the data centres that the operator wants emptied.
-type evacuations map[ident.DataCentre]bool
+// evacuations holds what the operator wants emptied. Reads and watches, which
+// may overtake each other, apply to it.
+type evacuations struct {
+	mu          sync.Mutex
+	dataCentres map[ident.DataCentre]evacuationState
+}
+
+type evacuationState struct {
+	revision StoreRevision
+	ended    bool
+}
 
-// apply returns the evacuations after an update, and whether they differ.
-func (e evacuations) apply(u OperatorUpdate) (evacuations, bool) {
-	next := evacuations{}
-	if !u.Whole {
-		next = maps.Clone(e)
+// apply applies an update and returns the data centres to empty, and whether
+// they have changed.
+func (e *evacuations) apply(u OperatorUpdate) (list []ident.DataCentre, changed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dataCentres == nil {
+		e.dataCentres = map[ident.DataCentre]evacuationState{}
+	}
+	before := e.wanted()
+	if u.Whole {
+		for dc, state := range e.dataCentres {
+			if state.revision <= u.Revision {
+				e.dataCentres[dc] = evacuationState{revision: u.Revision, ended: true}
+			}
+		}
 	}
 	for _, request := range u.Evacuations {
-		if request.Ended {
-			delete(next, request.DataCentre)
-			continue
+		known := e.dataCentres[request.DataCentre]
+		if request.Revision >= known.revision || (u.Whole && known.revision <= u.Revision) {
+			e.dataCentres[request.DataCentre] = evacuationState{revision: request.Revision, ended: request.Ended}
+		}
+	}
+	list = e.wanted()
+	return list, !slices.Equal(before, list)
+}
+
+func (e *evacuations) wanted() []ident.DataCentre {
+	var list []ident.DataCentre
+	for dc, state := range e.dataCentres {
+		if !state.ended {
+			list = append(list, dc)
 		}
-		next[request.DataCentre] = true
 	}
-	return next, !maps.Equal(e, next)
+	slices.Sort(list)
+	return list
 }
 
 // runOperator reads what the operator has written from the store and then
@@ -55,56 +84,103 @@
 // fault.StoreConflict.
 func (p *Process) runOperator(ctx context.Context) error {
 	var revision StoreRevision
-	evacuated := evacuations{}
 	dep := dependency{log: p.log.WithField("dependency", "configuration in the store")}
 	for ctx.Err() == nil {
-		update, err := p.readOperator(ctx, revision)
+		update, err := p.watchOperator(ctx, revision)
 		if fault.KindOf(err) == fault.StoreConflict {
 			revision = 0
 			continue
 		}
 		dep.report(err)
+		p.watching.Store(err == nil)
 		if err != nil {
 			p.counters.storeFailures.Inc()
 			p.sleep(storeRetryDelay)
 			continue
 		}
-		p.configTrace.handleAnswer(p.settings.Clock.Now())
-		if update.Whole || update.Config != nil {
-			p.log.WithFields(logrus.Fields{"whole": update.Whole, "after": revision, "revision": update.Revision, "config": update.Config != nil}).
-				Info("read what the operator has written")
-		}
 		revision = update.Revision
-		next, changed := evacuated.apply(update)
-		if evacuated = next; changed {
-			p.evacuate(next)
-		}
-		if update.Invalid != nil {
-			p.log.WithError(update.Invalid).Error("cannot read the configuration")
-		}
-		switch {
-		case update.Config != nil:
-			p.activateConfig(update.Config, "store")
-		case p.config.Load() == nil:
+		if update.Config == nil && p.config.Load() == nil {
 			p.sleep(storeRetryDelay)
 		}
 	}
 	return nil
 }
 
-// readOperator reads all if revision is zero, and otherwise waits for a change.
-func (p *Process) readOperator(ctx context.Context, revision StoreRevision) (OperatorUpdate, error) {
-	if revision > 0 {
-		return p.ports.Store.WatchOperator(ctx, revision, p.settings.WatchWait)
+// runOperatorReads reads all that the operator has written whenever the core
+// asks for it.
+func (p *Process) runOperatorReads(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.readOperatorNow:
+		}
+		_, err := p.readOperator(ctx)
+		if err != nil {
+			p.counters.storeFailures.Inc()
+		}
+		p.post(func(now time.Time) {
+			p.configSync.EndRead(now, err == nil)
+			if p.noticeTo != (ident.Process{}) && err == nil {
+				p.sendToPeer(p.noticeTo, p.noticeMessage(now))
+			}
+			p.noticeTo = ident.Process{}
+		})
+	}
+}
+
+// watchOperator waits for a change after a revision and applies it. If the
+// revision is zero, it reads all.
+func (p *Process) watchOperator(ctx context.Context, after StoreRevision) (OperatorUpdate, error) {
+	if after == 0 {
+		return p.readOperator(ctx)
+	}
+	update, err := p.ports.Store.WatchOperator(ctx, after, p.settings.WatchWait)
+	if err == nil {
+		p.applyOperatorUpdate(update)
 	}
+	return update, err
+}
+
+// readOperator reads all that the operator has written and applies it.
+func (p *Process) readOperator(ctx context.Context) (OperatorUpdate, error) {
 	call, cancel := context.WithTimeout(ctx, p.settings.StoreTimeout)
 	defer cancel()
-	return p.ports.Store.Operator(call)
+	began := p.settings.Clock.Now()
+	update, err := p.ports.Store.Operator(call)
+	if err != nil {
+		return update, err
+	}
+	if p.applyOperatorUpdate(update) {
+		// Whatever was confirmed before the read began is in force by now.
+		version := p.configVersion()
+		p.post(func(time.Time) { p.configSync.Observe(began, version, p.configVersion()) })
+	}
+	return update, nil
+}
+
+// applyOperatorUpdate puts what the operator has written in force. It reports
+// whether the configuration can be read and decoded, if there is one.
+func (p *Process) applyOperatorUpdate(u OperatorUpdate) bool {
+	p.configTrace.handleAnswer(p.settings.Clock.Now())
+	if list, changed := p.evacuations.apply(u); changed {
+		p.evacuate(list)
+	}
+	source := "watch"
+	if u.Whole {
+		source = "read"
+	}
+	if u.Invalid != nil {
+		p.log.WithError(u.Invalid).WithField("source", source).Error("cannot read the configuration")
+	}
+	if u.Config != nil && !p.activateConfig(u.Config, source) {
+		return false
+	}
+	return u.Invalid == nil
 }
 
 // evacuate tells the core which data centres get no more starts.
-func (p *Process) evacuate(e evacuations) {
-	list := slices.Sorted(maps.Keys(e))
+func (p *Process) evacuate(list []ident.DataCentre) {
 	p.log.WithField("data-centres", list).Info("evacuations have changed")
 	p.post(func(now time.Time) { p.applyActions(now, p.core.SetEvacuated(now, list)) })
 }
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -58,6 +58,8 @@
 	m := encode(s.Message)
 	if heartbeat := m.GetPulse(); heartbeat != nil {
 		heartbeat.ConfigVersion = p.configVersion()
+		heartbeat.ConfigAge = encodeAge(p.configSync.Age(p.settings.Clock.Now()))
+		heartbeat.ReadConfig = p.configSync.TakeHelper(s.To)
 	}
 	if !p.mesh.Send(s.To.Instance, s.To.Incarnation, s.Urgent, m) {
 		p.counters.messagesUnsent.Inc()
@@ -74,8 +76,14 @@
 	case *peerpb.Message_ConfigRequest:
 		p.sendConfig(from)
 		return
+	case *peerpb.Message_ConfigNotice:
+		p.handleConfigReport(now, from, body.ConfigNotice.GetVersion(), decodeAge(body.ConfigNotice.GetAge()))
+		return
 	case *peerpb.Message_Pulse:
-		p.fetchConfig(now, from, body.Pulse.GetConfigVersion())
+		p.handleConfigReport(now, from, body.Pulse.GetConfigVersion(), decodeAge(body.Pulse.GetConfigAge()))
+		if body.Pulse.GetReadConfig() {
+			p.readConfigFor(now, from)
+		}
 	}
 	message, ok := decode(m)
 	if !ok {
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -16,6 +16,7 @@
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/decide/configfetch"
+	"hornbeamlift.example/hornbeamlift/internal/decide/configsync"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
@@ -36,9 +37,15 @@
 	// config is nil until a configuration has been read.
 	config      atomic.Pointer[activeConfig]
 	configTrace configTrace
-	draining    atomic.Bool
-	// readListNow wakes runEndpointList.
-	readListNow chan struct{}
+	// rejectedConfig is the latest content that could not be decoded.
+	rejectedConfig atomic.Pointer[[]byte]
+	evacuations    evacuations
+	// watching is set while watches of the operator's keys are answered.
+	watching atomic.Bool
+	draining atomic.Bool
+	// readListNow wakes runEndpointList, and readOperatorNow runOperatorReads.
+	readListNow     chan struct{}
+	readOperatorNow chan struct{}
 	// ownerKnown is set while some instance is known to own the endpoints.
 	ownerKnown atomic.Bool
 	// ctx ends when the process has drained and stops.
@@ -57,7 +64,11 @@
 	linkTargets map[ident.InstanceID]Member
 	// configFetcher decides when to ask a peer for the configuration.
 	configFetcher configfetch.Fetcher
-	lastTick      time.Time
+	// configSync decides when to read the configuration whole.
+	configSync *configsync.Syncer
+	// noticeTo is the peer that waits for the read that has been started.
+	noticeTo ident.Process
+	lastTick time.Time
 	// lastStateLog is when the owner's state was last logged.
 	lastStateLog  time.Time
 	sinceStateLog sinceStateLog
@@ -89,7 +100,8 @@
 		settings: settings, ports: ports, metrics: metrics.NewSet(),
 		self:        ident.Process{Instance: settings.Instance, Incarnation: newIncarnation(now)},
 		posts:       make(chan func(time.Time), postCapacity),
-		readListNow: make(chan struct{}, 1),
+		readListNow: make(chan struct{}, 1), readOperatorNow: make(chan struct{}, 1),
+		configSync:  configsync.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		replies:     map[home.RequestID]chan<- home.Answer{},
 		linkTargets: map[ident.InstanceID]Member{},
 		log:         settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
@@ -187,7 +199,7 @@
 // background returns the functions that exchange what the instance knows with
 // the store and the peers, and decide on it. They run until their context ends.
 func (p *Process) background() []func(context.Context) error {
-	return []func(context.Context) error{p.runOperator, p.runMembership, p.runEndpointList, p.mesh.Run, p.loop}
+	return []func(context.Context) error{p.runOperator, p.runOperatorReads, p.runMembership, p.runEndpointList, p.mesh.Run, p.loop}
 }
 
 const (
--- a/internal/process/dispatch/sim_fleet_test.go
+++ b/internal/process/dispatch/sim_fleet_test.go
@@ -143,9 +143,11 @@
 }
 
 func (f *simFleet) close() {
+	f.network.healAll()
 	for _, in := range f.instances {
 		in.kill()
 	}
+	time.Sleep(time.Second) // the goroutines of the network end
 }
 
 // version returns the version in force, or zero while there is none.
--- a/internal/process/dispatch/sim_network_test.go
+++ b/internal/process/dispatch/sim_network_test.go
@@ -37,6 +37,13 @@
 
 func (n *simNetwork) heal(a, b ident.InstanceID) { n.addCuts(a, b, -1) }
 
+// healAll ends all cuts, so that no goroutine waits for the end of one.
+func (n *simNetwork) healAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cuts)
+}
+
 func (n *simNetwork) addCuts(a, b ident.InstanceID, d int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/process/dispatch/sim_store_test.go
+++ b/internal/process/dispatch/sim_store_test.go
@@ -189,11 +189,11 @@
 // watchOperator answers like platform.Store: with the changes after a revision,
 // and with the revision of the last one of them to continue from.
 func (s *simStore) watchOperator(ctx context.Context, id ident.InstanceID, after StoreRevision, wait time.Duration) (OperatorUpdate, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+	defer cancel()
 	if err := s.arrive(ctx, id); err != nil {
 		return OperatorUpdate{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
-	defer cancel()
 	for deadline := time.Now().Add(wait); ; time.Sleep(2 * time.Millisecond) {
 		if !s.serves(id) {
 			return OperatorUpdate{}, s.arrive(ctx, id)
