Ask other data centres for the configuration when none of the own can read it

Cause: in a divided fleet, and before the layout is known, instances link within their data centre only, and all of it was behind alike. Class of fault: a fallback that shares the fault of what it falls back from. Change: an instance whose version nobody in its group has compared with the store for 1.2 to 1.6 s links to two instances of other data centres, others each 0.5 s, until one of them confirms the version or sends a newer one. Both sides send a heartbeat on such a link, and the core closes it after a second, as before. The answer to a request is followed by a notice with the age. No message when calm.

--- a/internal/decide/configsync/syncer.go
+++ b/internal/decide/configsync/syncer.go
@@ -24,6 +24,9 @@
 	// within which a change must be in force, 2 s.
 	readAge    = time.Second
 	readSpread = 400 * time.Millisecond
+	// relayAge is the age from which an instance asks instances outside of its
+	// group, after the same random delay. Its own read has failed by then.
+	relayAge = 1200 * time.Millisecond
 	// retryDelay is the wait after a failed read.
 	retryDelay = 400 * time.Millisecond
 	// UnknownAge is the age of a configuration that was never compared with
@@ -92,6 +95,10 @@
 	return age >= readAge+s.spread && s.StartRead(now)
 }
 
+// NeedsRelays reports whether instances outside of the group must be asked, as
+// neither this instance nor a peer could read the configuration lately.
+func (s *Syncer) NeedsRelays(now time.Time) bool { return s.Age(now) >= relayAge+s.spread }
+
 // TakeHelper reports whether a heartbeat to a process must ask it to read.
 func (s *Syncer) TakeHelper(to ident.Process) bool {
 	if s.helper != to {
--- a/internal/process/dispatch/config.go
+++ b/internal/process/dispatch/config.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -151,6 +153,48 @@
 	if p.watching.Load() && p.configSync.Tick(now, p.core.IsOwner(), p.core.Peers()) {
 		p.readOperatorNow <- struct{}{}
 	}
+	p.updateRelays(now)
+}
+
+const (
+	// relayCount is the number of relays at a time, in different data centres
+	// if possible. relayInterval is how long they are kept, before others are
+	// chosen: they may be as unable to read the store.
+	relayCount    = 2
+	relayInterval = 500 * time.Millisecond
+)
+
+// updateRelays chooses the relays: instances of other groups that this one
+// links to for their configuration. On a new link both sides send a heartbeat
+// with the version, and the core closes the link soon afterwards.
+func (p *Process) updateRelays(now time.Time) {
+	if !p.configSync.NeedsRelays(now) {
+		if len(p.relays) > 0 {
+			clear(p.relays)
+			p.selectTargets()
+		}
+		return
+	}
+	if now.Sub(p.relaysAt) < relayInterval {
+		return
+	}
+	p.relaysAt = now
+	clear(p.relays)
+	outside := slices.DeleteFunc(slices.Clone(p.members), func(m Member) bool { return p.core.MayLink(m.DataCentre) })
+	rand.Shuffle(len(outside), func(i, k int) { outside[i], outside[k] = outside[k], outside[i] })
+	used := map[ident.DataCentre]bool{}
+	for _, again := range []bool{false, true} {
+		for _, m := range outside {
+			if len(p.relays) < relayCount && (again || !used[m.DataCentre]) {
+				p.relays[m.Process.Instance] = true
+				used[m.DataCentre] = true
+			}
+		}
+	}
+	if len(p.relays) > 0 {
+		p.log.WithField("relays", slices.Sorted(maps.Keys(p.relays))).Info("asking other data centres for the configuration")
+		p.selectTargets()
+	}
 }
 
 // announceConfig tells the peers that do not have it yet of a configuration
@@ -184,6 +228,8 @@
 	p.sendToPeer(to, &peerpb.Message{Body: &peerpb.Message_StoredConfig{
 		StoredConfig: &peerpb.StoredConfig{Version: c.routes.Version, Content: c.content},
 	}})
+	// On the same stream: the age counts once the receiver has the version.
+	p.sendToPeer(to, p.noticeMessage(now))
 }
 
 // handleConfigReport handles the version that a peer has in force, its age, and
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -65,6 +65,10 @@
 	// configSync when to read it whole.
 	configFetcher *configsync.Fetcher
 	configSync    *configsync.Syncer
+	// relays holds the instances of other groups that are linked to for their
+	// configuration, and relaysAt when they were chosen.
+	relays   map[ident.InstanceID]bool
+	relaysAt time.Time
 	// announcedVersion is the version that the peers were last told of.
 	announcedVersion uint64
 	// noticeTo is the peer that waits for the read that has been started.
@@ -105,8 +109,8 @@
 		configSync:    configsync.New(newRand()),
 		configFetcher: configsync.NewFetcher(newRand()),
 		replies:       map[home.RequestID]chan<- home.Answer{},
-		linkTargets:   map[ident.InstanceID]Member{},
-		log:           settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
+		linkTargets:   map[ident.InstanceID]Member{}, relays: map[ident.InstanceID]bool{},
+		log: settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
 	}
 	p.jobs = &Jobs{process: p}
 	var err error
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -119,7 +119,8 @@
 	p.selectTargets()
 }
 
-// selectTargets updates linkTargets to the members of this instance's group.
+// selectTargets updates linkTargets to the members of this instance's group and
+// the relays.
 func (p *Process) selectTargets() {
 	targets := map[ident.InstanceID]Member{}
 	for id, m := range p.linkTargets {
@@ -132,7 +133,7 @@
 			targets[m.Process.Instance] = m
 		}
 	}
-	maps.DeleteFunc(targets, func(_ ident.InstanceID, m Member) bool { return !p.core.MayLink(m.DataCentre) })
+	maps.DeleteFunc(targets, func(id ident.InstanceID, m Member) bool { return !p.core.MayLink(m.DataCentre) && !p.relays[id] })
 	p.linkTargets = targets
 	p.updateTargets()
 }
