Bound the silence of the store in place of the time of a whole read

What callers would see: an older version for as long as a read of the whole takes longer than a second, which a configuration near the limit of 1 MB does on a link of 19 Mbit/s with traffic: each try began anew, and a store that had dropped its history allows no other way. Shown in a test only. Class of fault: a fixed time limit on a transfer whose size grows. Change: a call to the store fails when nothing of the reply arrives for a second (after the wait, for a watch), and a read may take 10 s in all. The same limit was on the lists of endpoints and members, and on a watch, 1 s beyond its wait. A store that does not answer is given up as soon as before. Evidence: TestReadSlowerThanTimeout failed before and passes; TestSlowReplyIsReadWhole is new, with a store that answers in pieces, and one that is silent.

--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -53,6 +53,9 @@
 	Header http.Header
 	// Body is empty if the request has no body.
 	Body []byte
+	// MaxSilence, if above zero, bounds the time in which nothing of the reply
+	// arrives. A long reply may then take longer.
+	MaxSilence time.Duration
 }
 
 // Reply is the response to a call.
@@ -105,7 +108,7 @@
 		return Reply{}, fault.Wrap(err, fault.EndpointUnreachable, fault.RanNo)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(pastDeadline) })
-	reply, reusable, err := exchange(conn, c.cfg.Address, call)
+	reply, reusable, err := c.exchange(ctx, conn, call)
 	if !stop() || err != nil || !reusable {
 		_ = conn.Close()
 	} else {
@@ -177,10 +180,30 @@
 	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
 )
 
+// replyReader reads a reply from a connection. It fails if nothing arrives for
+// maxSilence.
+type replyReader struct {
+	net.Conn
+	ctx        context.Context
+	clock      clock.Clock
+	maxSilence time.Duration
+}
+
+// Read extends the deadline, unless the call has ended.
+func (r *replyReader) Read(p []byte) (int, error) {
+	if err := r.ctx.Err(); err != nil {
+		return 0, err
+	}
+	if err := r.SetReadDeadline(r.clock.Now().Add(r.maxSilence)); err != nil {
+		return 0, err
+	}
+	return r.Conn.Read(p)
+}
+
 // exchange sends a call and reads its reply. It reports whether the connection
 // can be reused for another call.
-func exchange(conn net.Conn, host string, call Call) (reply Reply, reusable bool, err error) {
-	req := request(host, call)
+func (c *Client) exchange(ctx context.Context, conn net.Conn, call Call) (reply Reply, reusable bool, err error) {
+	req := request(c.cfg.Address, call)
 	w := writers.Get().(*bufio.Writer)
 	w.Reset(conn)
 	err = req.Write(w)
@@ -198,6 +221,9 @@
 		readers.Put(r)
 	}()
 	r.Reset(conn)
+	if call.MaxSilence > 0 {
+		r.Reset(&replyReader{Conn: conn, ctx: ctx, clock: c.cfg.Clock, maxSilence: call.MaxSilence})
+	}
 	resp, err := http.ReadResponse(r, req)
 	if err != nil {
 		return Reply{}, false, err
@@ -206,7 +232,10 @@
 	if err != nil {
 		return Reply{}, false, err
 	}
-	return Reply{Status: resp.StatusCode, Body: body}, !resp.Close && r.Buffered() == 0, nil
+	if call.MaxSilence > 0 {
+		err = conn.SetReadDeadline(time.Time{})
+	}
+	return Reply{Status: resp.StatusCode, Body: body}, err == nil && !resp.Close && r.Buffered() == 0, nil
 }
 
 // request converts a call to an http.Request.
--- a/internal/process/dispatch/settings.go
+++ b/internal/process/dispatch/settings.go
@@ -42,7 +42,8 @@
 	ListInterval time.Duration
 	// WatchWait is how long one watch of the configuration waits for a change.
 	WatchWait time.Duration
-	// StoreTimeout bounds a call to the store.
+	// StoreTimeout bounds the reads of a list or of the configuration from the
+	// store. The store's client gives up sooner on a store that is silent.
 	StoreTimeout time.Duration
 	// MemberTTL is the duration of the lease of this instance's key in the
 	// store. MemberInterval is the interval at which the lease is renewed and
@@ -75,7 +76,7 @@
 	set(&s.TickInterval, 25*time.Millisecond)
 	set(&s.ListInterval, 500*time.Millisecond)
 	set(&s.WatchWait, 1500*time.Millisecond)
-	set(&s.StoreTimeout, time.Second)
+	set(&s.StoreTimeout, 10*time.Second)
 	set(&s.MemberTTL, 5*time.Second)
 	set(&s.MemberInterval, 1500*time.Millisecond)
 	set(&s.UnreadyWait, 2200*time.Millisecond)
