Do not ask peers again for a configuration that cannot be decoded

Cause: only a version in force ended the requests. Found by reading the new code. Change: the version of such a configuration ends them as well. Evidence: TestUndecodableConfigOfPeer fails without the change and passes with it.

--- a/internal/decide/configsync/syncer.go
+++ b/internal/decide/configsync/syncer.go
@@ -80,19 +80,30 @@
 	}
 }
 
-// Tick reports whether this instance must read the whole from the store. On the
-// owner it may also choose a helper among the peers; see TakeHelper.
-func (s *Syncer) Tick(now time.Time, owner bool, peers []ident.Process) (read bool) {
-	age := s.Age(now)
-	if owner && age >= helperAge && now.Sub(s.helperAt) >= helperTime {
+// Tick reports whether this instance must read the whole from the store.
+func (s *Syncer) Tick(now time.Time) (read bool) {
+	return s.Age(now) >= readAge+s.spread && s.StartRead(now)
+}
+
+// TickOwner is Tick for the owner, which may also choose a helper among the
+// peers; see TakeHelper. It chooses itself only if it can read.
+func (s *Syncer) TickOwner(now time.Time, peers []ident.Process, canRead bool) (read bool) {
+	if s.Age(now) >= helperAge && now.Sub(s.helperAt) >= helperTime {
 		s.helperAt = now
-		if k := s.rand.IntN(len(peers) + 1); k < len(peers) {
+		n := len(peers)
+		if canRead {
+			n++
+		}
+		if n == 0 {
+			return false
+		}
+		if k := s.rand.IntN(n); k < len(peers) {
 			s.helper = peers[k]
 		} else {
 			return s.StartRead(now)
 		}
 	}
-	return age >= readAge+s.spread && s.StartRead(now)
+	return canRead && s.Tick(now)
 }
 
 // NeedsRelays reports whether instances outside of the group must be asked, as
--- a/internal/decide/configsync/syncer_test.go
+++ b/internal/decide/configsync/syncer_test.go
@@ -22,7 +22,7 @@
 	s.Observe(now, 1, 1)
 	reads := map[ident.InstanceID]int{}
 	for end := now.Add(100 * time.Second); now.Before(end); now = now.Add(25 * time.Millisecond) {
-		read := s.Tick(now, true, peers)
+		read := s.TickOwner(now, peers, true)
 		for _, p := range peers {
 			if s.TakeHelper(p) {
 				reads[p.Instance]++
@@ -43,6 +43,21 @@
 	is.True(total >= 130 && total <= 145) // one in 0.7 s
 }
 
+// TestOwnerThatCannotRead guards against an owner that the store turns away and
+// that asks nobody to read for it, so that all instances do.
+func TestOwnerThatCannotRead(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	s := configsync.New(rand.New(rand.NewPCG(1, 0)))
+	helper := peerNamed("a")
+	for range 20 {
+		is.True(!s.TickOwner(now, []ident.Process{helper}, false))
+		is.True(s.TakeHelper(helper))
+		now = now.Add(time.Second)
+	}
+	is.True(!s.TickOwner(now, nil, false))
+}
+
 // TestReadsWithoutOwner guards against an instance that trusts its watch while
 // the owner makes nobody read, and against an age that says less than is known.
 func TestReadsWithoutOwner(t *testing.T) {
@@ -55,12 +70,12 @@
 	s.Observe(now, 1, 1)
 	s.Observe(now.Add(-time.Second), 1, 1)
 	is.Equal(s.Age(now), time.Duration(0))
-	is.True(!s.Tick(now.Add(990*time.Millisecond), false, nil))
-	is.True(s.Tick(now.Add(1400*time.Millisecond), false, nil))
-	is.True(!s.Tick(now.Add(3*time.Second), false, nil)) // the read goes on
+	is.True(!s.Tick(now.Add(990 * time.Millisecond)))
+	is.True(s.Tick(now.Add(1400 * time.Millisecond)))
+	is.True(!s.Tick(now.Add(3 * time.Second))) // the read goes on
 	s.EndRead(now.Add(3*time.Second), false)
-	is.True(!s.Tick(now.Add(3300*time.Millisecond), false, nil))
-	is.True(s.Tick(now.Add(3400*time.Millisecond), false, nil))
+	is.True(!s.Tick(now.Add(3300 * time.Millisecond)))
+	is.True(s.Tick(now.Add(3400 * time.Millisecond)))
 	s.HandlePause(time.Second)
 	is.Equal(s.Age(now.Add(time.Second)), 2*time.Second)
 }
--- a/internal/process/dispatch/config.go
+++ b/internal/process/dispatch/config.go
@@ -140,22 +140,30 @@
 }
 
 // tickConfig announces a configuration that has come into force, asks a peer
-// for a newer one and reads it from the store, if these are due. While watches
-// fail, reads would fail as well.
+// for a newer one and reads it from the store, if these are due.
 func (p *Process) tickConfig(now time.Time) {
 	p.announceConfig(now)
-	own := p.configVersion()
-	if peer, ok := p.configFetcher.Tick(now, own); ok {
-		p.log.WithFields(logrus.Fields{"peer": peer.Instance, "version": p.configFetcher.Version(peer), "own-version": own}).
+	if peer, ok := p.configFetcher.Tick(now, max(p.configVersion(), p.rejectedVersion)); ok {
+		p.log.WithFields(logrus.Fields{"peer": peer.Instance, "version": p.configFetcher.Version(peer), "own-version": p.configVersion()}).
 			Info("asking a peer for the configuration")
 		p.requestConfig(peer)
 	}
-	if p.watching.Load() && p.configSync.Tick(now, p.core.IsOwner(), p.core.Peers()) {
+	if p.configReadDue(now) {
 		p.readOperatorNow <- struct{}{}
 	}
 	p.updateRelays(now)
 }
 
+// configReadDue reports whether this instance must read the configuration from
+// the store. While watches fail, reads would fail as well.
+func (p *Process) configReadDue(now time.Time) bool {
+	canRead := p.watching.Load()
+	if p.core.IsOwner() {
+		return p.configSync.TickOwner(now, p.core.Peers(), canRead)
+	}
+	return canRead && p.configSync.Tick(now)
+}
+
 const (
 	// relayCount is the number of relays at a time, in different data centres
 	// if possible. relayInterval is how long they are kept, before others are
@@ -218,6 +226,14 @@
 	p.sendToPeer(peer, &peerpb.Message{Body: &peerpb.Message_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{Version: p.configVersion()}}})
 }
 
+// receiveConfig handles the configuration of a peer. One that cannot be decoded
+// is not asked for again.
+func (p *Process) receiveConfig(from ident.Process, c *peerpb.StoredConfig) {
+	if !p.activateConfig(c.GetContent(), "peer "+string(from.Instance)) {
+		p.rejectedVersion = max(p.rejectedVersion, c.GetVersion())
+	}
+}
+
 // sendConfig answers a peer that has asked for a configuration above a version.
 func (p *Process) sendConfig(now time.Time, to ident.Process, above uint64) {
 	c := p.config.Load()
--- a/internal/process/dispatch/config_test.go
+++ b/internal/process/dispatch/config_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/decide/route"
 )
 
 // startConfigured starts a fleet with version 1 in force.
@@ -106,3 +109,27 @@
 		is.Equal(f.instances[0].version(), uint64(2))
 	})
 }
+
+// TestUndecodableConfigOfPeer guards against an instance that asks its peers
+// again and again for a configuration that it cannot decode.
+func TestUndecodableConfigOfPeer(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 1, perDC: 3})
+		one := f.instances[2]
+		f.store.setMode(one.id, storeRefuses)
+		time.Sleep(time.Second)
+		parses := 0
+		one.process.ports.ParseConfig = func([]byte) (*route.Table, error) {
+			parses++
+			return nil, fault.New(fault.ConfigInvalid, fault.RanNo)
+		}
+		received := one.process.mesh.Stats().Traffic.In.Messages.Load
+		before := received()
+		f.store.put(2)
+		time.Sleep(5 * time.Second)
+		is.Equal(parses, 1)
+		is.Equal(one.version(), uint64(1))
+		is.True(received()-before < 20) // and not two each 75 ms
+	})
+}
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -70,7 +70,7 @@
 func (p *Process) receive(now time.Time, from ident.Process, m *peerpb.Message) {
 	switch body := m.GetBody().(type) {
 	case *peerpb.Message_StoredConfig:
-		p.activateConfig(body.StoredConfig.GetContent(), "peer "+string(from.Instance))
+		p.receiveConfig(from, body.StoredConfig)
 		return
 	case *peerpb.Message_ConfigRequest:
 		p.sendConfig(now, from, body.ConfigRequest.GetVersion())
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -69,8 +69,10 @@
 	// configuration, and relaysAt when they were chosen.
 	relays   map[ident.InstanceID]bool
 	relaysAt time.Time
-	// announcedVersion is the version that the peers were last told of.
+	// announcedVersion is the version that the peers were last told of, and
+	// rejectedVersion the highest one of a peer that could not be decoded.
 	announcedVersion uint64
+	rejectedVersion  uint64
 	// noticeTo is the peer that waits for the read that has been started.
 	noticeTo ident.Process
 	lastTick time.Time
