Learn the other instances from a peer while the store turns a new process away

What callers saw, if this was it: an older version for good from an instance that was started while the store turned it away, had taken its version from the one peer that dialled it, and then lost that peer. Cause: only the store names the others. Class: as for data centres that the store turns away, a fallback that needs what has failed.

--- a/internal/process/dispatch/config_test.go
+++ b/internal/process/dispatch/config_test.go
@@ -133,3 +133,32 @@
 		is.True(received()-before < 20) // and not two each 75 ms
 	})
 }
+
+// TestStartWhileStoreRefuses guards against an instance that was started while
+// the store turns it away, and that serves an older version for good once the
+// only peer that dialled it is gone.
+func TestStartWhileStoreRefuses(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 2, perDC: 2})
+		one, sibling, others := f.instances[0], f.instances[2], []*simInstance{f.instances[1], f.instances[3]}
+		one.kill()
+		f.store.setMode(one.id, storeRefuses)
+		for _, other := range others {
+			f.network.cut(one.id, other.id)
+		}
+		one.start()
+		time.Sleep(time.Second)
+		is.Equal(one.version(), uint64(1)) // from its sibling
+		f.store.revoke(one.id)
+		time.Sleep(3 * time.Second) // the others forget it
+		for _, other := range others {
+			f.network.heal(one.id, other.id)
+		}
+		sibling.kill()
+		time.Sleep(stability)
+		f.store.put(2)
+		time.Sleep(configBound)
+		is.Equal(one.version(), uint64(2))
+	})
+}
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -57,6 +57,7 @@
 	p.lastTick = now
 	p.applyActions(now, p.core.Tick(now))
 	p.tickConfig(now)
+	p.tickMembers(now)
 	p.ownerKnown.Store(p.core.OwnerKnown())
 	if p.core.IsOwner() && now.Sub(p.lastStateLog) >= stateInterval {
 		p.lastStateLog = now
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// receive handles a message from a peer. Configurations are handled here, and
-// other messages by the core.
+// receive handles a message from a peer. Configurations and lists of instances
+// are handled here, and other messages by the core.
 func (p *Process) receive(now time.Time, from ident.Process, m *peerpb.Message) {
 	switch body := m.GetBody().(type) {
 	case *peerpb.Message_StoredConfig:
@@ -75,6 +75,12 @@
 	case *peerpb.Message_ConfigRequest:
 		p.sendConfig(now, from, body.ConfigRequest.GetVersion())
 		return
+	case *peerpb.Message_MemberRequest:
+		p.sendMembers(from)
+		return
+	case *peerpb.Message_InstanceList:
+		p.receiveMembers(body.InstanceList)
+		return
 	case *peerpb.Message_ConfigNotice:
 		notice := body.ConfigNotice
 		p.handleConfigReport(now, from, notice.GetVersion(), decodeAge(notice.GetAge()), int(notice.GetSize()))
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -57,8 +57,10 @@
 	// answer.
 	replies     map[home.RequestID]chan<- home.Answer
 	nextRequest home.RequestID
-	// members holds the instances that the store last listed.
-	members []Member
+	// members holds the instances that the store last listed or, before it has,
+	// those that a peer has named. membersAskedAt is when a peer was last asked.
+	members        []Member
+	membersAskedAt time.Time
 	// linkTargets holds the other instances that the mesh keeps links to.
 	linkTargets map[ident.InstanceID]Member
 	// configFetcher decides when to ask a peer for the configuration, and
