Draw late answers, resets, cut watches and invalid content in the schedules

More of what the pages allow the store and links to do: answers that overtake each other, connections that are reset, watches that are cut, and a content that cannot be decoded between two others.

--- a/internal/process/dispatch/config_schedule_test.go
+++ b/internal/process/dispatch/config_schedule_test.go
@@ -126,7 +126,7 @@
 func (p *configPlan) fault() {
 	f, r := p.fleet, p.fleet.rand
 	d := p.between(500*time.Millisecond, 9*time.Second)
-	switch r.IntN(6) {
+	switch r.IntN(9) {
 	case 0: // the store turns single instances away
 		for _, in := range f.instances {
 			if r.IntN(3) == 0 {
@@ -149,7 +149,27 @@
 		f.store.forgetHistory()
 	case 4: // links are cut
 		p.cut(d)
-	case 5: // a process is killed
+	case 5: // answers of the store are late and overtake each other
+		most := p.between(20*time.Millisecond, 400*time.Millisecond)
+		p.note("answers to some take up to %v for %v", most, d)
+		for _, in := range f.instances {
+			if r.IntN(2) == 0 {
+				f.store.setDelay(in.id, most)
+				p.during(d, func() { f.store.setDelay(in.id, 0) })
+			}
+		}
+	case 6: // connections are reset
+		one := f.instances[r.IntN(len(f.instances))]
+		p.note("connections of %s are reset, and all watches are cut", one.id)
+		f.store.cut()
+		for _, other := range f.instances {
+			f.network.reset(one.id, other.id)
+		}
+	case 7: // a configuration that cannot be decoded comes between two others
+		p.note("an invalid configuration is written")
+		f.store.putInvalid()
+		p.nextChange = time.Now().Add(p.between(0, 300*time.Millisecond))
+	case 8: // a process is killed
 		in := f.instances[r.IntN(len(f.instances))]
 		if in.process == nil {
 			return
--- a/internal/process/dispatch/sim_network_test.go
+++ b/internal/process/dispatch/sim_network_test.go
@@ -16,13 +16,15 @@
 	mu        sync.Mutex
 	listeners map[string]*simListener
 	cuts      map[[2]ident.InstanceID]int
+	// resets counts the times at which the connections of a pair were reset.
+	resets map[[2]ident.InstanceID]int
 }
 
 // simLatency is the one-way delay between two instances.
 const simLatency = 2 * time.Millisecond
 
 func newSimNetwork() *simNetwork {
-	return &simNetwork{listeners: map[string]*simListener{}, cuts: map[[2]ident.InstanceID]int{}}
+	return &simNetwork{listeners: map[string]*simListener{}, cuts: map[[2]ident.InstanceID]int{}, resets: map[[2]ident.InstanceID]int{}}
 }
 
 func pair(a, b ident.InstanceID) [2]ident.InstanceID {
@@ -50,6 +52,19 @@
 	n.cuts[pair(a, b)] += d
 }
 
+// reset ends the connections between two instances. What is on its way is lost.
+func (n *simNetwork) reset(a, b ident.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.resets[pair(a, b)]++
+}
+
+func (n *simNetwork) resetCount(a, b ident.InstanceID) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.resets[pair(a, b)]
+}
+
 func (n *simNetwork) isCut(a, b ident.InstanceID) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -118,6 +133,7 @@
 func (n *simNetwork) forward(from, to ident.InstanceID, in, out net.Conn) {
 	queue := make(chan chunk, 1024)
 	done := make(chan struct{})
+	resets := n.resetCount(from, to)
 	go func() {
 		defer close(done)
 		defer func() { _ = in.Close() }()
@@ -127,6 +143,9 @@
 			for n.isCut(from, to) {
 				time.Sleep(5 * time.Millisecond)
 			}
+			if n.resetCount(from, to) != resets {
+				return
+			}
 			if _, err := out.Write(c.data); err != nil {
 				return
 			}
--- a/internal/process/dispatch/sim_store_test.go
+++ b/internal/process/dispatch/sim_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	at       time.Time
 	// unseen keeps the change out of the answers of watches.
 	unseen bool
+	// invalid makes the content one that cannot be decoded.
+	invalid bool
 }
 
 // simStore is the platform's store as the process sees it through its ports.
@@ -45,6 +48,10 @@
 	endpoints []EndpointRow
 	// readTime is how long a read of all that the operator has written takes.
 	readTime time.Duration
+	// delays holds the longest delay of the answers to an instance.
+	delays map[ident.InstanceID]time.Duration
+	// cutWatches counts the times at which the store has cut all watches.
+	cutWatches int
 }
 
 type simMember struct {
@@ -58,7 +65,7 @@
 )
 
 func newSimStore(endpoints int, dcs []ident.DataCentre) *simStore {
-	s := &simStore{revision: 1, modes: map[ident.InstanceID]storeMode{}, members: map[ident.InstanceID]simMember{}}
+	s := &simStore{revision: 1, delays: map[ident.InstanceID]time.Duration{}, modes: map[ident.InstanceID]storeMode{}, members: map[ident.InstanceID]simMember{}}
 	for i := range endpoints {
 		id := ident.EndpointID(fmt.Sprintf("e%d", i))
 		s.endpoints = append(s.endpoints, EndpointRow{ID: id, Endpoint: owner.Endpoint{
@@ -77,6 +84,45 @@
 	s.changes = append(s.changes, simChange{revision: s.revision, version: version, at: time.Now()})
 }
 
+// putInvalid writes a configuration that cannot be decoded.
+func (s *simStore) putInvalid() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.changes = append(s.changes, simChange{revision: s.revision, at: time.Now(), invalid: true})
+}
+
+// setDelay delays the answers to an instance by a random time up to d, so that
+// they overtake each other.
+func (s *simStore) setDelay(id ident.InstanceID, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delays[id] = d
+}
+
+// leave delays the answer to an instance.
+func (s *simStore) leave(id ident.InstanceID) {
+	s.mu.Lock()
+	d := s.delays[id]
+	s.mu.Unlock()
+	if d > 0 {
+		time.Sleep(rand.N(d))
+	}
+}
+
+// cut ends all watches without an answer.
+func (s *simStore) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutWatches++
+}
+
+func (s *simStore) cuts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cutWatches
+}
+
 // forgetHistory drops the history of all changes so far.
 func (s *simStore) forgetHistory() {
 	s.mu.Lock()
@@ -186,24 +232,38 @@
 	if err := s.transfer(ctx); err != nil {
 		return OperatorUpdate{}, err
 	}
+	defer s.leave(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	update := OperatorUpdate{Whole: true, Revision: s.revision}
 	for _, c := range s.changes {
-		if c.version > 0 {
-			update.Config = configContent(c.version)
-		}
+		c.apply(&update)
 	}
 	return update, nil
 }
 
+// apply adds the change to an answer.
+func (c *simChange) apply(u *OperatorUpdate) {
+	switch {
+	case c.invalid:
+		u.Config = []byte("?")
+	case c.version > 0:
+		u.Config = configContent(c.version)
+	}
+}
+
 // watchOperator answers like platform.Store: with the changes after a revision,
 // and with the revision of the last one of them to continue from.
 func (s *simStore) watchOperator(ctx context.Context, id ident.InstanceID, after StoreRevision, wait time.Duration) (OperatorUpdate, error) {
 	if err := s.arriveWait(ctx, id, wait); err != nil {
 		return OperatorUpdate{}, err
 	}
+	defer s.leave(id)
+	cuts := s.cuts()
 	for deadline := time.Now().Add(wait); ; time.Sleep(2 * time.Millisecond) {
+		if s.cuts() != cuts {
+			return OperatorUpdate{}, fault.New(fault.StoreUnavailable, fault.RanUnknown).WithDetail("the watch was cut")
+		}
 		if !s.serves(id) {
 			if err := s.arriveWait(ctx, id, time.Until(deadline)); err != nil {
 				return OperatorUpdate{}, err
@@ -234,9 +294,7 @@
 			continue
 		}
 		update.Revision = c.revision
-		if c.version > 0 {
-			update.Config = configContent(c.version)
-		}
+		c.apply(&update)
 	}
 	return update, nil
 }
