Tell peers of evacuations as of configurations

What operators would see: an owner that the store turns away goes on starting tasks in a data centre that is being emptied, for as long as that lasts, and starts none there after the end of the request. Cause: the same as for versions, in the other thing that the operator writes: only the store told of it. Found when the same cause was looked for elsewhere. Change: notices carry the known states of evacuations, each with the store's revision, of which the highest counts; heartbeats carry the highest one, and a peer that knows less asks. A new state is announced at once. The core gets the latest list whichever read or watch came last.

--- a/internal/process/dispatch/config.go
+++ b/internal/process/dispatch/config.go
@@ -205,17 +205,18 @@
 	}
 }
 
-// announceConfig tells the peers that do not have it yet of a configuration
-// that has come into force.
+// announceConfig tells the peers of a configuration that has come into force,
+// unless they have it, and of a change of the evacuations.
 func (p *Process) announceConfig(now time.Time) {
-	version := p.configVersion()
-	if version == p.announcedVersion {
+	version, evacuations := p.configVersion(), p.evacuations.revision()
+	if version == p.announcedVersion && evacuations == p.announcedEvacuations {
 		return
 	}
-	p.announcedVersion = version
+	toAll := evacuations != p.announcedEvacuations
+	p.announcedVersion, p.announcedEvacuations = version, evacuations
 	notice := p.noticeMessage(now)
 	for _, peer := range p.core.Peers() {
-		if p.configFetcher.Version(peer) < version && !p.mesh.Send(peer.Instance, peer.Incarnation, true, notice) {
+		if (toAll || p.configFetcher.Version(peer) < version) && !p.mesh.Send(peer.Instance, peer.Incarnation, true, notice) {
 			p.counters.messagesUnsent.Inc()
 		}
 	}
@@ -285,9 +286,10 @@
 	return time.Duration(age-1) * time.Millisecond
 }
 
-// noticeMessage returns a message with the version in force and its age.
+// noticeMessage returns a message with the version in force, its age, and the
+// evacuations.
 func (p *Process) noticeMessage(now time.Time) *peerpb.Message {
-	notice := &peerpb.ConfigNotice{Age: encodeAge(p.configSync.Age(now))}
+	notice := &peerpb.ConfigNotice{Age: encodeAge(p.configSync.Age(now)), Evacuations: p.evacuations.encode()}
 	if c := p.config.Load(); c != nil {
 		notice.Version, notice.Size = c.routes.Version, uint32(len(c.content))
 	}
--- a/internal/process/dispatch/config_schedule_test.go
+++ b/internal/process/dispatch/config_schedule_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"testing"
 	"time"
 )
@@ -28,9 +29,9 @@
 )
 
 // TestConfigSchedules guards against instances that serve an older version of
-// the configuration for longer than they may, although the store or a peer
-// could have told them, and against versions that go back, under random faults
-// of the store, links and processes.
+// the configuration, or know an older state of the evacuations, for longer than
+// they may, although the store or a peer could have told them, and against
+// versions that go back, under random faults of the store, links and processes.
 func TestConfigSchedules(t *testing.T) {
 	simulate(t, func(t *testing.T) {
 		if *configSeed > 0 {
@@ -96,7 +97,9 @@
 			p.note("version %d is left out of watches", p.version)
 		}
 		if p.fleet.rand.IntN(3) == 0 {
-			p.fleet.store.put(0)
+			dc := p.fleet.instances[p.fleet.rand.IntN(len(p.fleet.instances))].dc
+			p.fleet.store.evacuate(dc, p.fleet.rand.IntN(2) == 0)
+			p.note("the evacuation of %s changes", dc)
 		}
 	}
 	if !now.Before(p.nextFault) {
@@ -292,6 +295,12 @@
 	if source == nil {
 		return
 	}
+	list := in.process.evacuations.list()
+	for dc, wanted := range c.fleet.store.evacuated(now.Add(-c.bound)) {
+		if slices.Contains(list, dc) != wanted {
+			c.fail(t, "%s has the evacuations %v, and %s has been set to %v for more than %v; source %s", in.id, list, dc, wanted, c.bound, source.id)
+		}
+	}
 	if want := c.fleet.store.newest(now.Add(-c.bound)); in.version() < want {
 		c.fail(t, "%s serves version %d, and %d was confirmed more than %v before; source %s", in.id, in.version(), want, c.bound, source.id)
 	}
--- a/internal/process/dispatch/config_test.go
+++ b/internal/process/dispatch/config_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
+	"hornbeamlift.example/hornbeamlift/internal/core/ident"
 	"hornbeamlift.example/hornbeamlift/internal/decide/route"
 )
 
@@ -162,3 +163,22 @@
 		is.Equal(one.version(), uint64(2))
 	})
 }
+
+// TestEvacuationReachesRefusedOwner guards against an owner that goes on
+// starting tasks in a data centre that the operator empties, since the store
+// turns the owner away, and that never starts any there again.
+func TestEvacuationReachesRefusedOwner(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 2, perDC: 2})
+		o := f.instance(f.instances[0].owner())
+		f.store.setMode(o.id, storeIsSilent)
+		time.Sleep(stability)
+		f.store.evacuate("dc1", false)
+		time.Sleep(20*time.Millisecond + configSkew)
+		is.Equal(o.process.evacuations.list(), []ident.DataCentre{"dc1"})
+		f.store.evacuate("dc1", true)
+		time.Sleep(20*time.Millisecond + configSkew)
+		is.Equal(len(o.process.evacuations.list()), 0)
+	})
+}
--- a/internal/process/dispatch/operator.go
+++ b/internal/process/dispatch/operator.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"time"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
@@ -30,55 +28,6 @@
 	Revision    StoreRevision
 }
 
-// evacuations holds what the operator wants emptied. Reads and watches, which
-// may overtake each other, apply to it.
-type evacuations struct {
-	mu          sync.Mutex
-	dataCentres map[ident.DataCentre]evacuationState
-}
-
-type evacuationState struct {
-	revision StoreRevision
-	ended    bool
-}
-
-// apply applies an update and returns the data centres to empty, and whether
-// they have changed.
-func (e *evacuations) apply(u OperatorUpdate) (list []ident.DataCentre, changed bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.dataCentres == nil {
-		e.dataCentres = map[ident.DataCentre]evacuationState{}
-	}
-	before := e.wanted()
-	if u.Whole {
-		for dc, state := range e.dataCentres {
-			if state.revision <= u.Revision {
-				e.dataCentres[dc] = evacuationState{revision: u.Revision, ended: true}
-			}
-		}
-	}
-	for _, request := range u.Evacuations {
-		known := e.dataCentres[request.DataCentre]
-		if request.Revision >= known.revision || (u.Whole && known.revision <= u.Revision) {
-			e.dataCentres[request.DataCentre] = evacuationState{revision: request.Revision, ended: request.Ended}
-		}
-	}
-	list = e.wanted()
-	return list, !slices.Equal(before, list)
-}
-
-func (e *evacuations) wanted() []ident.DataCentre {
-	var list []ident.DataCentre
-	for dc, state := range e.dataCentres {
-		if !state.ended {
-			list = append(list, dc)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
-
 // runOperator reads what the operator has written from the store and then
 // watches it for changes. It reads it again when the watch reports
 // fault.StoreConflict.
@@ -162,8 +111,8 @@
 // whether the configuration can be read and decoded, if there is one.
 func (p *Process) applyOperatorUpdate(u OperatorUpdate) bool {
 	p.configTrace.handleAnswer(p.settings.Clock.Now())
-	if list, changed := p.evacuations.apply(u); changed {
-		p.evacuate(list)
+	if p.evacuations.apply(u) {
+		p.evacuate()
 	}
 	source := "watch"
 	if u.Whole {
@@ -178,8 +127,8 @@
 	return u.Invalid == nil
 }
 
-// evacuate tells the core which data centres get no more starts.
-func (p *Process) evacuate(list []ident.DataCentre) {
-	p.log.WithField("data-centres", list).Info("evacuations have changed")
-	p.post(func(now time.Time) { p.applyActions(now, p.core.SetEvacuated(now, list)) })
+// evacuate tells the core which data centres get no more starts. Reads and
+// watches may call it in any order, so the core gets the latest list.
+func (p *Process) evacuate() {
+	p.post(func(now time.Time) { p.setEvacuated(now) })
 }
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -58,6 +58,7 @@
 	if heartbeat := m.GetPulse(); heartbeat != nil {
 		heartbeat.ConfigVersion = p.configVersion()
 		heartbeat.ConfigAge = encodeAge(p.configSync.Age(p.settings.Clock.Now()))
+		heartbeat.EvacuationRevision = uint64(p.evacuations.revision())
 		heartbeat.ReadConfig = p.configSync.TakeHelper(s.To)
 	}
 	if !p.mesh.Send(s.To.Instance, s.To.Incarnation, s.Urgent, m) {
@@ -84,9 +85,13 @@
 	case *peerpb.Message_ConfigNotice:
 		notice := body.ConfigNotice
 		p.handleConfigReport(now, from, notice.GetVersion(), decodeAge(notice.GetAge()), int(notice.GetSize()))
+		if p.evacuations.apply(decodeEvacuations(notice.GetEvacuations())) {
+			p.setEvacuated(now)
+		}
 		return
 	case *peerpb.Message_Pulse:
 		p.handleConfigReport(now, from, body.Pulse.GetConfigVersion(), decodeAge(body.Pulse.GetConfigAge()), 0)
+		p.fetchEvacuations(now, from, StoreRevision(body.Pulse.GetEvacuationRevision()))
 		if body.Pulse.GetReadConfig() {
 			p.readConfigFor(now, from)
 		}
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -73,6 +73,10 @@
 	// rejectedVersion the highest one of a peer that could not be decoded.
 	announcedVersion uint64
 	rejectedVersion  uint64
+	// announcedEvacuations is the revision of the evacuations that the peers
+	// were last told of, and evacuationsAskedAt when a peer was last asked.
+	announcedEvacuations StoreRevision
+	evacuationsAskedAt   time.Time
 	// noticeTo is the peer that waits for the read that has been started.
 	noticeTo ident.Process
 	lastTick time.Time
--- a/internal/process/dispatch/sim_store_test.go
+++ b/internal/process/dispatch/sim_store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	unseen bool
 	// invalid makes the content one that cannot be decoded.
 	invalid bool
+	// evacuation is set for a change of an evacuation.
+	evacuation *Evacuation
 }
 
 // simStore is the platform's store as the process sees it through its ports.
@@ -84,6 +87,16 @@
 	s.changes = append(s.changes, simChange{revision: s.revision, version: version, at: time.Now()})
 }
 
+// evacuate writes the request to empty a data centre, or removes it.
+func (s *simStore) evacuate(dc ident.DataCentre, ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.changes = append(s.changes, simChange{
+		revision: s.revision, at: time.Now(), evacuation: &Evacuation{DataCentre: dc, Ended: ended, Revision: s.revision},
+	})
+}
+
 // putInvalid writes a configuration that cannot be decoded.
 func (s *simStore) putInvalid() {
 	s.mu.Lock()
@@ -177,6 +190,24 @@
 	return version
 }
 
+// evacuated returns, for the data centres whose evacuation has not changed since
+// a time, whether they must be empty.
+func (s *simStore) evacuated(since time.Time) map[ident.DataCentre]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	settled := map[ident.DataCentre]bool{}
+	for _, c := range s.changes {
+		switch {
+		case c.evacuation == nil:
+		case c.at.After(since):
+			delete(settled, c.evacuation.DataCentre)
+		default:
+			settled[c.evacuation.DataCentre] = !c.evacuation.Ended
+		}
+	}
+	return settled
+}
+
 // simSilence is how long the store's client waits for the first of an answer.
 const simSilence = time.Second
 
@@ -245,6 +276,11 @@
 // apply adds the change to an answer.
 func (c *simChange) apply(u *OperatorUpdate) {
 	switch {
+	case c.evacuation != nil:
+		u.Evacuations = slices.DeleteFunc(u.Evacuations, func(e Evacuation) bool { return e.DataCentre == c.evacuation.DataCentre })
+		if !u.Whole || !c.evacuation.Ended {
+			u.Evacuations = append(u.Evacuations, *c.evacuation)
+		}
 	case c.invalid:
 		u.Config = []byte("?")
 	case c.version > 0:
