Allow for the time that a peer's report of its configuration was held up

Cause: a heartbeat says how old the sender's configuration is when it is sent. A partition holds it back, for up to 2.4 s until the link is closed, and it then says that an older version is current, so that the receiver does not read for as long. Found by reading the new code. Change: heartbeats and notices carry the sender's time since its start; the receiver adds to the age by how much the message took longer than the fastest one of the last 5 to 10 s.

--- a/internal/process/dispatch/config.go
+++ b/internal/process/dispatch/config.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
-	"hornbeamlift.example/hornbeamlift/internal/decide/configsync"
 	"hornbeamlift.example/hornbeamlift/internal/schema/peerpb"
 )
 
@@ -249,15 +248,28 @@
 	p.sendToPeer(to, p.noticeMessage(now))
 }
 
-// handleConfigReport handles the version that a peer has in force, its age, and
-// its size in bytes, which is zero if unknown.
-func (p *Process) handleConfigReport(now time.Time, from ident.Process, version uint64, age time.Duration, size int) {
+// configReport is what a peer says about its configuration. Size is in bytes,
+// and zero if unknown. Age and sent are as in the peer protocol.
+type configReport struct {
+	version uint64
+	age     uint32
+	sent    uint64
+	size    int
+}
+
+// handleConfigReport handles what a peer says about its configuration.
+func (p *Process) handleConfigReport(now time.Time, from ident.Process, r configReport) {
 	own := p.configVersion()
-	if age != configsync.UnknownAge {
-		p.configSync.Observe(now.Add(-age), version, own)
+	var delay time.Duration
+	if r.sent > 0 {
+		delay = p.peerDelays.Observe(now, from, time.Duration(r.sent-1)*time.Millisecond)
 	}
-	p.logNewerVersion(now, string(from.Instance), version)
-	p.configFetcher.Observe(now, from, version, own, size)
+	if r.age > 0 {
+		age := time.Duration(r.age-1) * time.Millisecond
+		p.configSync.Observe(now.Add(-age-delay), r.version, own)
+	}
+	p.logNewerVersion(now, string(from.Instance), r.version)
+	p.configFetcher.Observe(now, from, r.version, own, r.size)
 }
 
 // readConfigFor reads the configuration for a peer, which is sent the result in
@@ -270,8 +282,7 @@
 	p.readOperatorNow <- struct{}{}
 }
 
-// encodeAge converts the age of the configuration to the peer protocol, and
-// decodeAge back.
+// encodeAge converts the age of the configuration to the peer protocol.
 func encodeAge(age time.Duration) uint32 {
 	if age.Milliseconds() >= math.MaxUint32 {
 		return 0
@@ -279,17 +290,15 @@
 	return uint32(age.Milliseconds()) + 1
 }
 
-func decodeAge(age uint32) time.Duration {
-	if age == 0 {
-		return configsync.UnknownAge
-	}
-	return time.Duration(age-1) * time.Millisecond
+// sentTime returns the time as messages to peers carry it.
+func (p *Process) sentTime(now time.Time) uint64 {
+	return uint64(now.Sub(p.startedAt).Milliseconds()) + 1
 }
 
 // noticeMessage returns a message with the version in force, its age, and the
 // evacuations.
 func (p *Process) noticeMessage(now time.Time) *peerpb.Message {
-	notice := &peerpb.ConfigNotice{Age: encodeAge(p.configSync.Age(now)), Evacuations: p.evacuations.encode()}
+	notice := &peerpb.ConfigNotice{Age: encodeAge(p.configSync.Age(now)), Evacuations: p.evacuations.encode(), Sent: p.sentTime(now)}
 	if c := p.config.Load(); c != nil {
 		notice.Version, notice.Size = c.routes.Version, uint32(len(c.content))
 	}
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -20,6 +20,7 @@
 			// Package logread matches this message.
 			p.log.WithField("peer", process.Instance).Info("link to peer is down")
 			p.configFetcher.HandleLinkDown(process)
+			p.peerDelays.HandleLinkDown(process)
 			p.applyActions(now, p.core.HandleLinkDown(now, process))
 		})
 	}
@@ -57,7 +58,8 @@
 	m := encode(s.Message)
 	if heartbeat := m.GetPulse(); heartbeat != nil {
 		heartbeat.ConfigVersion = p.configVersion()
-		heartbeat.ConfigAge = encodeAge(p.configSync.Age(p.settings.Clock.Now()))
+		now := p.settings.Clock.Now()
+		heartbeat.ConfigAge, heartbeat.Sent = encodeAge(p.configSync.Age(now)), p.sentTime(now)
 		heartbeat.EvacuationRevision = uint64(p.evacuations.revision())
 		heartbeat.ReadConfig = p.configSync.TakeHelper(s.To)
 	}
@@ -84,13 +86,13 @@
 		return
 	case *peerpb.Message_ConfigNotice:
 		notice := body.ConfigNotice
-		p.handleConfigReport(now, from, notice.GetVersion(), decodeAge(notice.GetAge()), int(notice.GetSize()))
+		p.handleConfigReport(now, from, configReport{notice.GetVersion(), notice.GetAge(), notice.GetSent(), int(notice.GetSize())})
 		if p.evacuations.apply(decodeEvacuations(notice.GetEvacuations())) {
 			p.setEvacuated(now)
 		}
 		return
 	case *peerpb.Message_Pulse:
-		p.handleConfigReport(now, from, body.Pulse.GetConfigVersion(), decodeAge(body.Pulse.GetConfigAge()), 0)
+		p.handleConfigReport(now, from, configReport{body.Pulse.GetConfigVersion(), body.Pulse.GetConfigAge(), body.Pulse.GetSent(), 0})
 		p.fetchEvacuations(now, from, StoreRevision(body.Pulse.GetEvacuationRevision()))
 		if body.Pulse.GetReadConfig() {
 			p.readConfigFor(now, from)
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -77,6 +77,10 @@
 	// were last told of, and evacuationsAskedAt when a peer was last asked.
 	announcedEvacuations StoreRevision
 	evacuationsAskedAt   time.Time
+	// peerDelays estimates the delays of messages that say how old a
+	// configuration is. Those of this process carry the time since startedAt.
+	peerDelays *configsync.Delays
+	startedAt  time.Time
 	// noticeTo is the peer that waits for the read that has been started.
 	noticeTo ident.Process
 	lastTick time.Time
@@ -114,8 +118,9 @@
 		readListNow: make(chan struct{}, 1), readOperatorNow: make(chan struct{}, 1),
 		configSync:    configsync.New(now, newRand()),
 		configFetcher: configsync.NewFetcher(newRand()),
-		replies:       map[home.RequestID]chan<- home.Answer{},
-		linkTargets:   map[ident.InstanceID]Member{}, relays: map[ident.InstanceID]bool{},
+		peerDelays:    configsync.NewDelays(now), startedAt: now,
+		replies:     map[home.RequestID]chan<- home.Answer{},
+		linkTargets: map[ident.InstanceID]Member{}, relays: map[ident.InstanceID]bool{},
 		log: settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
 	}
 	p.jobs = &Jobs{process: p}
