Drop the notice that was sent when a version comes into force

Change: a ConfigNotice is an answer only; the size that a waiting instance allows for is in the heartbeat.

--- a/internal/process/dispatch/config.go
+++ b/internal/process/dispatch/config.go
@@ -129,6 +129,16 @@
 	}).Info("no route for a request")
 }
 
+// addConfig adds the configuration to a heartbeat.
+func (p *Process) addConfig(now time.Time, to ident.Process, heartbeat *peerpb.Pulse) {
+	if c := p.config.Load(); c != nil {
+		heartbeat.ConfigVersion, heartbeat.ConfigSize = c.routes.Version, uint32(len(c.content))
+	}
+	heartbeat.ConfigAge, heartbeat.Sent = encodeAge(p.configSync.Age(now)), p.sentTime(now)
+	heartbeat.EvacuationRevision = uint64(p.evacuations.revision())
+	heartbeat.ReadConfig = p.configSync.TakeHelper(to)
+}
+
 // configVersion returns the version of the active configuration, or zero
 // without one.
 func (p *Process) configVersion() uint64 {
@@ -138,10 +148,9 @@
 	return 0
 }
 
-// tickConfig announces a configuration that has come into force, asks a peer
-// for a newer one and reads it from the store, if these are due.
+// tickConfig asks a peer for a newer configuration and reads it from the store,
+// if these are due.
 func (p *Process) tickConfig(now time.Time) {
-	p.announceConfig(now)
 	if peer, ok := p.configFetcher.Tick(now, max(p.configVersion(), p.rejectedVersion)); ok {
 		p.log.WithFields(logrus.Fields{"peer": peer.Instance, "version": p.configFetcher.Version(peer), "own-version": p.configVersion()}).
 			Info("asking a peer for the configuration")
@@ -204,23 +213,6 @@
 	}
 }
 
-// announceConfig tells the peers of a configuration that has come into force,
-// unless they have it, and of a change of the evacuations.
-func (p *Process) announceConfig(now time.Time) {
-	version, evacuations := p.configVersion(), p.evacuations.revision()
-	if version == p.announcedVersion && evacuations == p.announcedEvacuations {
-		return
-	}
-	toAll := evacuations != p.announcedEvacuations
-	p.announcedVersion, p.announcedEvacuations = version, evacuations
-	notice := p.noticeMessage(now)
-	for _, peer := range p.core.Peers() {
-		if (toAll || p.configFetcher.Version(peer) < version) && !p.mesh.Send(peer.Instance, peer.Incarnation, true, notice) {
-			p.counters.messagesUnsent.Inc()
-		}
-	}
-}
-
 // requestConfig asks a peer for its configuration.
 func (p *Process) requestConfig(peer ident.Process) {
 	p.sendToPeer(peer, &peerpb.Message{Body: &peerpb.Message_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{Version: p.configVersion()}}})
@@ -298,9 +290,7 @@
 // noticeMessage returns a message with the version in force, its age, and the
 // evacuations.
 func (p *Process) noticeMessage(now time.Time) *peerpb.Message {
-	notice := &peerpb.ConfigNotice{Age: encodeAge(p.configSync.Age(now)), Evacuations: p.evacuations.encode(), Sent: p.sentTime(now)}
-	if c := p.config.Load(); c != nil {
-		notice.Version, notice.Size = c.routes.Version, uint32(len(c.content))
-	}
-	return &peerpb.Message{Body: &peerpb.Message_ConfigNotice{ConfigNotice: notice}}
+	return &peerpb.Message{Body: &peerpb.Message_ConfigNotice{ConfigNotice: &peerpb.ConfigNotice{
+		Version: p.configVersion(), Age: encodeAge(p.configSync.Age(now)), Evacuations: p.evacuations.encode(), Sent: p.sentTime(now),
+	}}}
 }
--- a/internal/process/dispatch/config_test.go
+++ b/internal/process/dispatch/config_test.go
@@ -93,6 +93,29 @@
 	})
 }
 
+// TestOwnerAsksPeerThatIsCutOff guards against an owner that the store turns
+// away, and that is behind its homes for too long since the one that it asks has
+// just been cut off.
+func TestOwnerAsksPeerThatIsCutOff(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 2, perDC: 2})
+		o := f.instance(f.instances[0].owner())
+		f.store.setMode(o.id, storeRefuses)
+		time.Sleep(time.Second)
+		for version := uint64(2); version < 60; version++ {
+			home := f.instances[int(version)%len(f.instances)]
+			f.store.put(version)
+			time.Sleep(10 * time.Millisecond)
+			f.network.cut(o.id, home.id)
+			time.Sleep(10*time.Millisecond + configSkew)
+			is.Equal(o.version(), version)
+			f.network.heal(o.id, home.id)
+			time.Sleep(time.Duration(500+f.rand.IntN(120)) * time.Millisecond)
+		}
+	})
+}
+
 // TestReadSlowerThanTimeout guards against an instance that never reads a
 // configuration which takes longer than the time-out of a call, and so begins
 // again and again.
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -57,11 +57,7 @@
 func (p *Process) send(s dispatcher.Send) {
 	m := encode(s.Message)
 	if heartbeat := m.GetPulse(); heartbeat != nil {
-		heartbeat.ConfigVersion = p.configVersion()
-		now := p.settings.Clock.Now()
-		heartbeat.ConfigAge, heartbeat.Sent = encodeAge(p.configSync.Age(now)), p.sentTime(now)
-		heartbeat.EvacuationRevision = uint64(p.evacuations.revision())
-		heartbeat.ReadConfig = p.configSync.TakeHelper(s.To)
+		p.addConfig(p.settings.Clock.Now(), s.To, heartbeat)
 	}
 	if !p.mesh.Send(s.To.Instance, s.To.Incarnation, s.Urgent, m) {
 		p.counters.messagesUnsent.Inc()
@@ -86,13 +82,13 @@
 		return
 	case *peerpb.Message_ConfigNotice:
 		notice := body.ConfigNotice
-		p.handleConfigReport(now, from, configReport{notice.GetVersion(), notice.GetAge(), notice.GetSent(), int(notice.GetSize())})
+		p.handleConfigReport(now, from, configReport{notice.GetVersion(), notice.GetAge(), notice.GetSent(), 0})
 		if p.evacuations.apply(decodeEvacuations(notice.GetEvacuations())) {
 			p.setEvacuated(now)
 		}
 		return
 	case *peerpb.Message_Pulse:
-		p.handleConfigReport(now, from, configReport{body.Pulse.GetConfigVersion(), body.Pulse.GetConfigAge(), body.Pulse.GetSent(), 0})
+		p.handleConfigReport(now, from, configReport{body.Pulse.GetConfigVersion(), body.Pulse.GetConfigAge(), body.Pulse.GetSent(), int(body.Pulse.GetConfigSize())})
 		p.fetchEvacuations(now, from, StoreRevision(body.Pulse.GetEvacuationRevision()))
 		if body.Pulse.GetReadConfig() {
 			p.readConfigFor(now, from)
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -69,14 +69,11 @@
 	// configuration, and relaysAt when they were chosen.
 	relays   map[ident.InstanceID]bool
 	relaysAt time.Time
-	// announcedVersion is the version that the peers were last told of, and
-	// rejectedVersion the highest one of a peer that could not be decoded.
-	announcedVersion uint64
-	rejectedVersion  uint64
-	// announcedEvacuations is the revision of the evacuations that the peers
-	// were last told of, and evacuationsAskedAt when a peer was last asked.
-	announcedEvacuations StoreRevision
-	evacuationsAskedAt   time.Time
+	// rejectedVersion is the highest version of a peer that could not be
+	// decoded.
+	rejectedVersion uint64
+	// evacuationsAskedAt is when a peer was last asked for its evacuations.
+	evacuationsAskedAt time.Time
 	// peerDelays estimates the delays of messages that say how old a
 	// configuration is. Those of this process carry the time since startedAt.
 	peerDelays *configsync.Delays
