Remember instances that the store no longer lists as relays

What callers saw, if this was it: as in, an older version from a data centre that the store turns away. Cause: the relays were chosen among the listed members, and the keys of instances that the store has turned away for 5 s are gone. Targets within the group stay as they were.

--- a/internal/process/dispatch/config.go
+++ b/internal/process/dispatch/config.go
@@ -196,13 +196,13 @@
 	}
 	p.relaysAt = now
 	clear(p.relays)
-	outside := slices.DeleteFunc(slices.Clone(p.members), func(m Member) bool { return p.core.MayLink(m.DataCentre) })
+	outside := p.outsideMembers()
 	rand.Shuffle(len(outside), func(i, k int) { outside[i], outside[k] = outside[k], outside[i] })
 	used := map[ident.DataCentre]bool{}
 	for _, again := range []bool{false, true} {
 		for _, m := range outside {
 			if len(p.relays) < relayCount && (again || !used[m.DataCentre]) {
-				p.relays[m.Process.Instance] = true
+				p.relays[m.Process.Instance] = m
 				used[m.DataCentre] = true
 			}
 		}
--- a/internal/process/dispatch/config_test.go
+++ b/internal/process/dispatch/config_test.go
@@ -76,6 +76,33 @@
 	})
 }
 
+// TestRelaysThatAreNoLongerListed guards against a data centre that the store
+// turns away, and that asks nobody outside of it since the store had dropped the
+// keys of all others, which it turned away before.
+func TestRelaysThatAreNoLongerListed(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 2, perDC: 2, divided: true})
+		setMode := func(dc ident.DataCentre, mode storeMode) {
+			for _, in := range f.instances {
+				if in.dc == dc {
+					f.store.setMode(in.id, mode)
+				}
+			}
+		}
+		setMode("dc1", storeRefuses)
+		time.Sleep(simMemberTTL + 3*time.Second)
+		setMode("dc0", storeRefuses)
+		setMode("dc1", storeServes)
+		time.Sleep(stability)
+		f.store.put(2)
+		time.Sleep(dividedConfigBound)
+		for _, in := range f.instances {
+			is.Equal(in.version(), uint64(2))
+		}
+	})
+}
+
 // TestOwnerBehindHomes guards against an owner that starts tasks of a newer
 // configuration for other instances, and itself answers as an older one says.
 func TestOwnerBehindHomes(t *testing.T) {
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -78,7 +78,7 @@
 		p.sendMembers(from)
 		return
 	case *peerpb.Message_InstanceList:
-		p.receiveMembers(body.InstanceList)
+		p.receiveMembers(now, body.InstanceList)
 		return
 	case *peerpb.Message_ConfigNotice:
 		notice := body.ConfigNotice
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -67,8 +67,10 @@
 	configSync    *configsync.Syncer
 	// relays holds the instances of other groups that are linked to for their
 	// configuration, and relaysAt when they were chosen.
-	relays   map[ident.InstanceID]bool
+	relays   map[ident.InstanceID]Member
 	relaysAt time.Time
+	// remembered holds the instances that were listed lately.
+	remembered map[ident.InstanceID]rememberedMember
 	// rejectedVersion is the highest version of a peer that could not be
 	// decoded.
 	rejectedVersion uint64
@@ -117,7 +119,7 @@
 		configFetcher: configsync.NewFetcher(newRand()),
 		peerDelays:    configsync.NewDelays(now), startedAt: now,
 		replies:     map[home.RequestID]chan<- home.Answer{},
-		linkTargets: map[ident.InstanceID]Member{}, relays: map[ident.InstanceID]bool{},
+		linkTargets: map[ident.InstanceID]Member{}, relays: map[ident.InstanceID]Member{}, remembered: map[ident.InstanceID]rememberedMember{},
 		log: settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
 	}
 	p.jobs = &Jobs{process: p}
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -116,6 +116,7 @@
 	}
 	p.core.SetMembers(now, members)
 	p.members = list
+	p.rememberMembers(now, list)
 	p.selectTargets()
 }
 
@@ -129,11 +130,12 @@
 		}
 	}
 	for _, m := range p.members {
-		if m.Process.Instance != p.self.Instance {
+		if m.Process.Instance != p.self.Instance && p.core.MayLink(m.DataCentre) {
 			targets[m.Process.Instance] = m
 		}
 	}
-	maps.DeleteFunc(targets, func(id ident.InstanceID, m Member) bool { return !p.core.MayLink(m.DataCentre) && !p.relays[id] })
+	maps.DeleteFunc(targets, func(_ ident.InstanceID, m Member) bool { return !p.core.MayLink(m.DataCentre) })
+	maps.Copy(targets, p.relays)
 	p.linkTargets = targets
 	p.updateTargets()
 }
