Group what keeps the configuration current, and split its file

No change of behaviour: the state that only loop uses is one struct, configSync; config.go holds the version in force, config_sync.go the exchange with peers and the store, relays.go the relays.

--- a/internal/decide/configsync/syncer.go
+++ b/internal/decide/configsync/syncer.go
@@ -91,11 +91,11 @@
 func (s *Syncer) TickOwner(now time.Time, peers []ident.Process) (read bool) {
 	if s.Age(now) >= helperAge && now.Sub(s.helperAt) >= helperTime {
 		s.helperAt = now
-		if k := s.rand.IntN(len(peers) + 1); k < len(peers) {
-			s.helper = peers[k]
-		} else {
+		k := s.rand.IntN(len(peers) + 1)
+		if k == len(peers) {
 			return s.StartRead(now)
 		}
+		s.helper = peers[k]
 	}
 	return s.Tick(now)
 }
--- a/internal/process/dispatch/evacuation.go
+++ b/internal/process/dispatch/evacuation.go
@@ -108,8 +108,8 @@
 
 // fetchEvacuations asks a peer that knows a later state of an evacuation.
 func (p *Process) fetchEvacuations(now time.Time, from ident.Process, revision StoreRevision) {
-	if revision > p.evacuations.revision() && now.Sub(p.evacuationsAskedAt) >= evacuationRequestInterval {
-		p.evacuationsAskedAt = now
+	if revision > p.evacuations.revision() && now.Sub(p.configSync.evacuationsAskedAt) >= evacuationRequestInterval {
+		p.configSync.evacuationsAskedAt = now
 		p.requestConfig(from)
 	}
 }
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -42,7 +42,7 @@
 	suspended := max(0, elapsed-monotonic)
 	// Package logread matches this message.
 	p.log.WithFields(logrus.Fields{"steady": monotonic.String(), "uncounted": suspended.String()}).Warn("the process was paused")
-	p.configSync.HandlePause(suspended)
+	p.configSync.syncer.HandlePause(suspended)
 	p.applyActions(now, p.core.HandlePause(now, suspended))
 	return now
 }
--- a/internal/process/dispatch/operator.go
+++ b/internal/process/dispatch/operator.go
@@ -68,11 +68,11 @@
 			p.counters.storeFailures.Inc()
 		}
 		p.post(func(now time.Time) {
-			p.configSync.EndRead(now, err == nil)
-			if p.noticeTo != (ident.Process{}) && err == nil {
-				p.sendToPeer(p.noticeTo, p.noticeMessage(now))
+			p.configSync.syncer.EndRead(now, err == nil)
+			if p.configSync.noticeTo != (ident.Process{}) && err == nil {
+				p.sendToPeer(p.configSync.noticeTo, p.noticeMessage(now))
 			}
-			p.noticeTo = ident.Process{}
+			p.configSync.noticeTo = ident.Process{}
 		})
 	}
 }
@@ -102,7 +102,7 @@
 	if p.applyOperatorUpdate(update) {
 		// Whatever was confirmed before the read began is in force by now.
 		version := p.configVersion()
-		p.post(func(time.Time) { p.configSync.Observe(began, version, p.configVersion()) })
+		p.post(func(time.Time) { p.configSync.syncer.Observe(began, version, p.configVersion()) })
 	}
 	return update, nil
 }
--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -19,8 +19,8 @@
 		p.post(func(now time.Time) {
 			// Package logread matches this message.
 			p.log.WithField("peer", process.Instance).Info("link to peer is down")
-			p.configFetcher.HandleLinkDown(process)
-			p.peerDelays.HandleLinkDown(process)
+			p.configSync.fetcher.HandleLinkDown(process)
+			p.configSync.delays.HandleLinkDown(process)
 			p.applyActions(now, p.core.HandleLinkDown(now, process))
 		})
 	}
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -15,7 +15,6 @@
 	"hornbeamlift.example/hornbeamlift/internal/adapter/peer"
 	"hornbeamlift.example/hornbeamlift/internal/core/fault"
 	"hornbeamlift.example/hornbeamlift/internal/core/ident"
-	"hornbeamlift.example/hornbeamlift/internal/decide/configsync"
 	"hornbeamlift.example/hornbeamlift/internal/decide/dispatcher"
 	"hornbeamlift.example/hornbeamlift/internal/decide/home"
 	"hornbeamlift.example/hornbeamlift/internal/decide/leader"
@@ -61,28 +60,12 @@
 	membersAskedAt time.Time
 	// linkTargets holds the other instances that the mesh keeps links to.
 	linkTargets map[ident.InstanceID]Member
-	// configFetcher decides when to ask a peer for the configuration, and
-	// configSync when to read it whole.
-	configFetcher *configsync.Fetcher
-	configSync    *configsync.Syncer
-	// relays holds the instances of other groups that are linked to for their
-	// configuration, and relaysAt when they were chosen.
-	relays   map[ident.InstanceID]Member
-	relaysAt time.Time
+	// configSync is what keeps the configuration current.
+	configSync configSync
 	// remembered holds the instances that were listed lately.
 	remembered map[ident.InstanceID]rememberedMember
-	// rejectedVersion is the highest version of a peer that could not be
-	// decoded.
-	rejectedVersion uint64
-	// evacuationsAskedAt is when a peer was last asked for its evacuations.
-	evacuationsAskedAt time.Time
-	// peerDelays estimates the delays of messages that say how old a
-	// configuration is. Those of this process carry the time since startedAt.
-	peerDelays *configsync.Delays
 	startedAt  time.Time
-	// noticeTo is the peer that waits for the read that has been started.
-	noticeTo ident.Process
-	lastTick time.Time
+	lastTick   time.Time
 	// lastStateLog is when the owner's state was last logged.
 	lastStateLog  time.Time
 	sinceStateLog sinceStateLog
@@ -115,11 +98,9 @@
 		self:        ident.Process{Instance: settings.Instance, Incarnation: newIncarnation(now)},
 		posts:       make(chan func(time.Time), postCapacity),
 		readListNow: make(chan struct{}, 1), readOperatorNow: make(chan struct{}, 1),
-		configSync:    configsync.New(now, newRand()),
-		configFetcher: configsync.NewFetcher(newRand()),
-		peerDelays:    configsync.NewDelays(now), startedAt: now,
+		configSync: newConfigSync(now), startedAt: now,
 		replies:     map[home.RequestID]chan<- home.Answer{},
-		linkTargets: map[ident.InstanceID]Member{}, relays: map[ident.InstanceID]Member{}, remembered: map[ident.InstanceID]rememberedMember{},
+		linkTargets: map[ident.InstanceID]Member{}, remembered: map[ident.InstanceID]rememberedMember{},
 		log: settings.Log.WithFields(logrus.Fields{"instance": settings.Instance, "data-centre": settings.DataCentre}),
 	}
 	p.jobs = &Jobs{process: p}
@@ -166,9 +147,6 @@
 	return ident.Incarnation(uint64(now.UnixMilli())<<16 | uint64(rand.Uint32N(1<<16)))
 }
 
-// newRand returns a random source with a seed of its own.
-func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
 // Run serves until ctx ends, then drains and stops. It returns nil after an
 // orderly stop.
 func (p *Process) Run(ctx context.Context) error {
--- a/internal/process/dispatch/store.go
+++ b/internal/process/dispatch/store.go
@@ -135,7 +135,7 @@
 		}
 	}
 	maps.DeleteFunc(targets, func(_ ident.InstanceID, m Member) bool { return !p.core.MayLink(m.DataCentre) })
-	maps.Copy(targets, p.relays)
+	maps.Copy(targets, p.configSync.relays)
 	p.linkTargets = targets
 	p.updateTargets()
 }
