--- a/internal/process/dispatch/config_test.go
+++ b/internal/process/dispatch/config_test.go
@@ -26,6 +26,23 @@
 	return f
 }
 
+// expectVersion checks that a version is in force on all instances.
+func (f *simFleet) expectVersion(is *is.I, version uint64) {
+	is.Helper()
+	for _, in := range f.instances {
+		is.Equal(in.version(), version)
+	}
+}
+
+// setMode sets how the store treats the instances of a data centre.
+func (f *simFleet) setMode(dc ident.DataCentre, mode storeMode) {
+	for _, in := range f.instances {
+		if in.dc == dc {
+			f.store.setMode(in.id, mode)
+		}
+	}
+}
+
 // TestWatchesThatHearNothing guards against a change that no instance takes
 // while the watches of the store return no changes.
 func TestWatchesThatHearNothing(t *testing.T) {
@@ -35,9 +52,7 @@
 		f.store.setDeaf(time.Now().Add(time.Minute))
 		f.store.put(2)
 		time.Sleep(configBound)
-		for _, in := range f.instances {
-			is.Equal(in.version(), uint64(2))
-		}
+		f.expectVersion(is, 2)
 	})
 }
 
@@ -62,17 +77,11 @@
 	simulate(t, func(t *testing.T) {
 		is := is.New(t)
 		f := startConfigured(t, simShape{dcs: 2, perDC: 3, divided: true})
-		for _, in := range f.instances {
-			if in.dc == "dc0" {
-				f.store.setMode(in.id, storeIsSilent)
-			}
-		}
+		f.setMode("dc0", storeIsSilent)
 		time.Sleep(stability)
 		f.store.put(2)
 		time.Sleep(dividedConfigBound)
-		for _, in := range f.instances {
-			is.Equal(in.version(), uint64(2))
-		}
+		f.expectVersion(is, 2)
 	})
 }
 
@@ -83,23 +92,14 @@
 	simulate(t, func(t *testing.T) {
 		is := is.New(t)
 		f := startConfigured(t, simShape{dcs: 2, perDC: 2, divided: true})
-		setMode := func(dc ident.DataCentre, mode storeMode) {
-			for _, in := range f.instances {
-				if in.dc == dc {
-					f.store.setMode(in.id, mode)
-				}
-			}
-		}
-		setMode("dc1", storeRefuses)
+		f.setMode("dc1", storeRefuses)
 		time.Sleep(simMemberTTL + 3*time.Second)
-		setMode("dc0", storeRefuses)
-		setMode("dc1", storeServes)
+		f.setMode("dc0", storeRefuses)
+		f.setMode("dc1", storeServes)
 		time.Sleep(stability)
 		f.store.put(2)
 		time.Sleep(dividedConfigBound)
-		for _, in := range f.instances {
-			is.Equal(in.version(), uint64(2))
-		}
+		f.expectVersion(is, 2)
 	})
 }
 
@@ -114,9 +114,7 @@
 		time.Sleep(time.Second)
 		f.store.put(2)
 		time.Sleep(20*time.Millisecond + configSkew)
-		for _, in := range f.instances {
-			is.Equal(in.version(), uint64(2))
-		}
+		f.expectVersion(is, 2)
 	})
 }
 
