Deny a route only with a configuration that is known to be current

What callers saw: 404 for a route that had been added, from an instance that had an older version. Cause: an instance answered 404 as long as it had any version, also when neither the store nor a peer had told it for long that this was the newest. 404 promises that no such queue exists, which it could not know. Class: an answer that is certain, given from state that may be old. Change: an instance whose version was last known to be the newest more than 1.5 s ago answers 503, not run, with Retry-After 1 s, for a route that it lacks, as one without any version does. Routes that it has are served on. The line for such a request has the age.

--- a/internal/core/fault/fault.go
+++ b/internal/core/fault/fault.go
@@ -71,7 +71,8 @@
 	EndpointUnreachable Kind = "endpoint-unreachable"
 	// ConfigInvalid: the configuration file is not valid.
 	ConfigInvalid Kind = "config-invalid"
-	// ConfigMissing: the instance has no configuration yet.
+	// ConfigMissing: the instance has no configuration yet, or one that may be
+	// out of date and lacks what was asked for.
 	ConfigMissing Kind = "config-missing"
 	// ApplyConflict: another operator's change of the configuration came first.
 	ApplyConflict Kind = "apply-conflict"
--- a/internal/process/dispatch/config.go
+++ b/internal/process/dispatch/config.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"hornbeamlift.example/hornbeamlift/internal/decide/configsync"
 )
 
 // configTrace records how current the configuration is, for logs and metrics.
@@ -120,9 +122,19 @@
 	p.log.WithFields(logrus.Fields{
 		"host": host, "path": path, "config-version": p.configVersion(),
 		"store-answered": p.configTrace.answerAge(p.settings.Clock.Now()).Round(time.Millisecond).String(),
+		"config-age":     p.configAge().Round(time.Millisecond).String(),
 	}).Info("no route for a request")
 }
 
+// configAge returns how long ago the active configuration was known to be the
+// newest. Unlike that of configSync, any goroutine may ask for it.
+func (p *Process) configAge() time.Duration {
+	if at := p.configCurrentAt.Load(); at != nil {
+		return p.settings.Clock.Now().Sub(*at)
+	}
+	return configsync.UnknownAge
+}
+
 // configVersion returns the version of the active configuration, or zero
 // without one.
 func (p *Process) configVersion() uint64 {
--- a/internal/process/dispatch/config_schedule_test.go
+++ b/internal/process/dispatch/config_schedule_test.go
@@ -268,6 +268,7 @@
 	}
 	c.history = append(c.history, sample)
 	for _, in := range c.fleet.instances {
+		c.checkDenied(t, now, in)
 		c.checkInTime(t, now, in)
 		c.checkOwner(t, now, in)
 	}
@@ -293,6 +294,15 @@
 	return nil
 }
 
+// checkDenied checks that no instance, in whatever trouble, says that a route
+// does not exist which was confirmed before the bound.
+func (c *configCheck) checkDenied(t *testing.T, now time.Time, in *simInstance) {
+	want := c.fleet.store.newest(now.Add(-configBound))
+	if in.process != nil && want > in.version() && in.deniesRoute(want) {
+		c.fail(t, "%s has version %d and denies the route of %d, confirmed more than %v before", in.id, in.version(), want, configBound)
+	}
+}
+
 // checkInTime checks that an instance has the versions that were confirmed
 // before the bound, unless neither the store nor a peer could tell it, or it
 // has no version at all, so that it answers nobody.
--- a/internal/process/dispatch/config_sync.go
+++ b/internal/process/dispatch/config_sync.go
@@ -46,6 +46,10 @@
 // tickConfig asks a peer for a newer configuration and reads it from the store,
 // if these are due.
 func (p *Process) tickConfig(now time.Time) {
+	if age := p.configSync.syncer.Age(now); age != configsync.UnknownAge {
+		at := now.Add(-age)
+		p.configCurrentAt.Store(&at)
+	}
 	if peer, ok := p.configSync.fetcher.Tick(now, max(p.configVersion(), p.configSync.rejectedVersion)); ok {
 		p.log.WithFields(logrus.Fields{"peer": peer.Instance, "version": p.configSync.fetcher.Version(peer), "own-version": p.configVersion()}).
 			Info("asking a peer for the configuration")
--- a/internal/process/dispatch/config_test.go
+++ b/internal/process/dispatch/config_test.go
@@ -141,6 +141,30 @@
 	})
 }
 
+// TestStaleInstanceDeniesNoRoute guards against an instance that answers that a
+// route does not exist although it cannot know: neither the store nor a peer has
+// told it lately that its configuration is the newest.
+func TestStaleInstanceDeniesNoRoute(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startConfigured(t, simShape{dcs: 1, perDC: 1})
+		one := f.instances[0]
+		is.True(one.deniesRoute(2))
+		f.store.setMode(one.id, storeRefuses)
+		f.store.put(2)
+		time.Sleep(configBound)
+		is.True(!one.deniesRoute(2))
+		_, err := one.process.jobs.Match(simHost, simPath(2))
+		is.Equal(fault.KindOf(err), fault.ConfigMissing)
+		_, err = one.process.jobs.Match(simHost, simPath(1))
+		is.NoErr(err) // what it has is served
+		f.store.setMode(one.id, storeServes)
+		time.Sleep(time.Second)
+		is.True(!one.deniesRoute(2))
+		is.True(one.deniesRoute(3))
+	})
+}
+
 // TestReadSlowerThanTimeout guards against an instance that never reads a
 // configuration which takes longer than the time-out of a call, and so begins
 // again and again.
--- a/internal/process/dispatch/jobs.go
+++ b/internal/process/dispatch/jobs.go
@@ -27,8 +27,14 @@
 	ConfigVersion uint64
 }
 
+// maxCertainAge is the age of the configuration up to which a route that it
+// lacks does not exist. It is above the age at which each instance reads the
+// configuration, and below the time within which a change must be in force.
+const maxCertainAge = 1500 * time.Millisecond
+
 // Match finds the route of a request. The error is a *fault.Error of kind
-// fault.ConfigMissing or fault.UnknownService.
+// fault.UnknownService, or fault.ConfigMissing if this instance cannot tell
+// whether the route exists.
 func (j *Jobs) Match(host, path string) (Match, error) {
 	c := j.process.config.Load()
 	if c == nil {
@@ -37,6 +43,9 @@
 	r, rest, ok := c.routes.Match(host, path)
 	if !ok {
 		j.process.logNoRoute(host, path)
+		if j.process.configAge() > maxCertainAge {
+			return Match{}, fault.New(fault.ConfigMissing, fault.RanNo).WithRetryAfter(time.Second).WithDetail("the configuration may be out of date")
+		}
 		return Match{}, fault.New(fault.UnknownService, fault.RanNo).WithField("path")
 	}
 	return Match{Route: r, Rest: rest, BodyLimit: c.routes.BodyLimit, ConfigVersion: c.routes.Version}, nil
--- a/internal/process/dispatch/process.go
+++ b/internal/process/dispatch/process.go
@@ -35,6 +35,8 @@
 	// config is nil until a configuration has been read.
 	config      atomic.Pointer[activeConfig]
 	configTrace configTrace
+	// configCurrentAt is as of when config is known to be the newest, or nil.
+	configCurrentAt atomic.Pointer[time.Time]
 	// rejectedConfig is the latest content that could not be decoded.
 	rejectedConfig atomic.Pointer[[]byte]
 	evacuations    evacuations
--- a/internal/process/dispatch/sim_fleet_test.go
+++ b/internal/process/dispatch/sim_fleet_test.go
@@ -183,12 +183,30 @@
 	return nil
 }
 
+// parseSimConfig decodes a configuration of the simulated store, which has the
+// routes that all versions so far have added.
 func parseSimConfig(content []byte) (*route.Table, error) {
 	version, err := strconv.ParseUint(string(content[1:]), 10, 64)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.ConfigInvalid, fault.RanNo)
 	}
-	return route.NewTable(version, nil, 0), nil
+	var routes []route.Route
+	for n := range version {
+		routes = append(routes, route.Route{Host: simHost, Prefix: simPath(n + 1)})
+	}
+	return route.NewTable(version, routes, 0), nil
+}
+
+const simHost = "h.example"
+
+// simPath returns the path of the route that a version adds.
+func simPath(version uint64) string { return "/" + strconv.FormatUint(version, 10) + "/" }
+
+// deniesRoute reports whether an instance says that the route of a version does
+// not exist.
+func (in *simInstance) deniesRoute(version uint64) bool {
+	_, err := in.process.jobs.Match(simHost, simPath(version))
+	return fault.KindOf(err) == fault.UnknownService
 }
 
 func simPoll(ctx context.Context, poll owner.Poll) owner.PollResult {
