--- a/internal/decide/group/layout.go
+++ b/internal/decide/group/layout.go
@@ -70,6 +70,10 @@
 	// changeDelay is how long another layout must be called for before it takes
 	// effect: the list of members lacks instances that are just starting.
 	changeDelay = 2 * time.Second
+	// firstDelay is the same for an instance that has no layout yet, once it has
+	// a list of endpoints, and whose peers have none. Instances that all restart
+	// at once have registered by then, and serve no one before.
+	firstDelay = 500 * time.Millisecond
 	// strengthMemory is how long an instance that can own all endpoints is
 	// still counted after it was last seen. One that fails comes back or is
 	// replaced, and each change of the layout costs runs.
@@ -132,12 +136,20 @@
 	return d.largestOwner
 }
 
+// delay returns how long another layout must be called for.
+func (d *Decider) delay() time.Duration {
+	if d.layout == Unknown {
+		return firstDelay
+	}
+	return changeDelay
+}
+
 // Update decides on the layout and reports whether it has changed. It does so
 // only once endpoints are listed. A new instance takes the layout of its peers,
 // since its list of members may still lack the strong ones. Without peers that
 // have settled, Whole takes effect at once, and so does a division for too many
 // members, since lists lack members but do not invent them. Others take effect
-// after changeDelay.
+// after a delay.
 func (d *Decider) Update(now time.Time, f Fleet) bool {
 	if f.Endpoints == 0 {
 		return false
@@ -155,7 +167,7 @@
 	case d.differsSince.IsZero():
 		d.differsSince = now
 		return false
-	case now.Sub(d.differsSince) < changeDelay:
+	case now.Sub(d.differsSince) < d.delay():
 		return false
 	}
 	d.layout, d.differsSince = wanted, time.Time{}
--- a/internal/decide/group/layout_test.go
+++ b/internal/decide/group/layout_test.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// TestRestartOfAll guards against a fleet whose instances restart all at once and
+// that serves no one for seconds, since each waits before it divides.
+func TestRestartOfAll(t *testing.T) {
+	is := is.New(t)
+	var d group.Decider
+	fleet := group.Fleet{Members: 38, Endpoints: 350, LargestOwner: 250}
+	is.True(!d.Update(time.Unix(0, 0), fleet))
+	is.True(!d.Update(time.Unix(0, 0).Add(400*time.Millisecond), fleet)) // strong members may be missing
+	is.True(d.Update(time.Unix(0, 0).Add(600*time.Millisecond), fleet))
+	is.Equal(d.Layout(), group.ByDataCentre)
+}
+
 // TestManyMembersDivideAtOnce guards against instances that start together and
 // all link to each other before they divide.
 func TestManyMembersDivideAtOnce(t *testing.T) {
