--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -33,6 +33,8 @@
 	LinkGrace time.Duration
 	// Listing configures the exchange of the list of endpoints.
 	Listing listing.Config
+	// LayoutMemory is the memory of the group.Decider, its default if it is zero.
+	LayoutMemory time.Duration
 	// FenceNonce is a random number in the fences of this process, which makes
 	// them differ from those of other processes.
 	FenceNonce uint32
@@ -165,6 +167,7 @@
 		return nil, err
 	}
 	c := &Core{cfg: cfg, self: cfg.Leader.Self, lostPeers: map[ident.Process]time.Time{}, released: map[ident.Process]uint64{}, listDigests: map[ident.Process]uint64{}, list: listing.New(cfg.Listing)}
+	c.groups.decider.Memory = cfg.LayoutMemory
 	c.jobs = home.New(c.linked)
 	c.groups.linked, c.groups.layouts = map[ident.Process]ident.DataCentre{}, map[ident.Process]group.Layout{}
 	var err error
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -211,6 +211,8 @@
 // newFleetIn is newFleet for a number of data centres.
 func newFleetIn(t testing.TB, seed uint64, dataCentres, instances, endpoints int, strength group.Strength) *fleet {
 	f := &fleet{
+		// The layout follows each endpoint that leaves the list, so that it changes often.
+		cfg:      dispatcher.Config{LayoutMemory: time.Nanosecond},
 		strength: strength, maxSubmissions: 4, leaveShare: 0.05, dataCentres: dataCentres,
 		shortest: 30 * time.Millisecond, longest: 430 * time.Millisecond, minCPU: 8000, cpuRange: 12_000, jobDeadline: deadline,
 		oneWayCuts: map[[2]int]bool{}, answerCuts: map[[2]int]bool{}, callDelays: map[[2]int]time.Duration{},
--- a/internal/decide/group/layout.go
+++ b/internal/decide/group/layout.go
@@ -10,7 +10,10 @@
 // off. A Decider is a deterministic state machine.
 package group
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Layout says how the fleet is divided.
 type Layout int
@@ -74,21 +77,38 @@
 	// a list of endpoints, and whose peers have none. Instances that all restart
 	// at once have registered by then, and serve no one before.
 	firstDelay = 500 * time.Millisecond
-	// strengthMemory is how long an instance that can own all endpoints is
-	// still counted after it was last seen. One that fails comes back or is
-	// replaced, and each change of the layout costs runs.
-	strengthMemory = time.Minute
+	// DefaultMemory is how long an instance that can own all endpoints, and the
+	// most endpoints that were listed, still count. An instance that fails comes
+	// back or is replaced, and so do the endpoints of a data centre that is cut
+	// off. Each change of the layout costs runs.
+	DefaultMemory = time.Minute
 )
 
 // Decider decides on the layout as one instance sees it.
 type Decider struct {
+	// Memory is how long the size of the fleet is remembered, DefaultMemory if it
+	// is zero.
+	Memory time.Duration
 	layout Layout
 	// differsSince is when another layout was first called for, or zero.
 	differsSince time.Time
-	// largestOwner is the highest Fleet.LargestOwner of the last
-	// strengthMemory, and largestAt when it was last seen.
-	largestOwner int
-	largestAt    time.Time
+	// largestOwner and endpoints are the highest Fleet.LargestOwner and
+	// Fleet.Endpoints that are remembered.
+	largestOwner, endpoints remembered
+}
+
+// remembered is the highest of the latest numbers, and when it was last seen.
+type remembered struct {
+	highest int
+	at      time.Time
+}
+
+// update takes in a number and returns the highest one within the memory.
+func (r *remembered) update(now time.Time, n int, memory time.Duration) int {
+	if n >= r.highest || now.Sub(r.at) > memory {
+		r.highest, r.at = n, now
+	}
+	return r.highest
 }
 
 // Layout returns the layout that is in use.
@@ -127,15 +147,6 @@
 	return wanted
 }
 
-// rememberLargest returns the highest number of endpoints that an instance
-// could own within strengthMemory.
-func (d *Decider) rememberLargest(now time.Time, largest int) int {
-	if largest >= d.largestOwner || now.Sub(d.largestAt) > strengthMemory {
-		d.largestOwner, d.largestAt = largest, now
-	}
-	return d.largestOwner
-}
-
 // delay returns how long another layout must be called for.
 func (d *Decider) delay() time.Duration {
 	if d.layout == Unknown {
@@ -154,7 +165,9 @@
 	if f.Endpoints == 0 {
 		return false
 	}
-	f.LargestOwner = d.rememberLargest(now, f.LargestOwner)
+	memory := cmp.Or(d.Memory, DefaultMemory)
+	f.LargestOwner = d.largestOwner.update(now, f.LargestOwner, memory)
+	f.Endpoints = d.endpoints.update(now, f.Endpoints, memory)
 	wanted := f.layout()
 	if d.layout == Unknown {
 		wanted = f.firstLayout()
@@ -170,6 +183,10 @@
 	case now.Sub(d.differsSince) < d.delay():
 		return false
 	}
+	if d.layout == Unknown && wanted == ByDataCentre && f.layout() == Whole {
+		// The peers remember a larger fleet.
+		d.endpoints.update(now, f.LargestOwner+1, memory)
+	}
 	d.layout, d.differsSince = wanted, time.Time{}
 	return true
 }
--- a/internal/decide/group/layout_test.go
+++ b/internal/decide/group/layout_test.go
@@ -67,6 +67,41 @@
 	is.Equal(d.Layout(), group.ByDataCentre)
 }
 
+// TestCutOffEndpointsCount guards against a divided fleet that becomes whole while
+// a data centre is cut off, whose endpoints leave the list, and divides again once
+// they are back.
+func TestCutOffEndpointsCount(t *testing.T) {
+	is := is.New(t)
+	var d group.Decider
+	now := time.Unix(0, 0)
+	fleet := group.Fleet{Members: 38, Endpoints: 350, LargestOwner: 250}
+	d.Update(now, fleet)
+	is.True(d.Update(now.Add(time.Second), fleet))
+	fleet.Endpoints = 190
+	for range 50 {
+		now = now.Add(time.Second)
+		is.True(!d.Update(now, fleet))
+	}
+	is.Equal(d.Layout(), group.ByDataCentre)
+	for range 20 {
+		now = now.Add(time.Second)
+		d.Update(now, fleet)
+	}
+	is.Equal(d.Layout(), group.Whole) // they are gone for good
+}
+
+// TestNewInstanceStaysDivided guards against an instance that starts while a data
+// centre is cut off and takes the fleet for whole, unlike its peers.
+func TestNewInstanceStaysDivided(t *testing.T) {
+	is := is.New(t)
+	var d group.Decider
+	fleet := group.Fleet{Members: 38, Endpoints: 190, LargestOwner: 250, PeersDivided: true}
+	is.True(d.Update(time.Unix(0, 0), fleet))
+	is.True(!d.Update(time.Unix(1, 0), fleet))
+	is.True(!d.Update(time.Unix(10, 0), fleet))
+	is.Equal(d.Layout(), group.ByDataCentre)
+}
+
 // TestFirstLayout guards against a new instance that divides a whole fleet for
 // itself, since its list of members still lacks the strong ones: it then owns
 // endpoints beside the owner of the fleet.
