--- a/internal/decide/dispatcher/core.go
+++ b/internal/decide/dispatcher/core.go
@@ -60,7 +60,7 @@
 // Action is an action for the caller of a Core to carry out: an owner.Poll,
 // owner.Start, owner.Stop, owner.RunEvent, owner.TakeoverEvent or
 // owner.RefusalEvent, a home.Answer, or a Send, CloseLink, ReadEndpoints,
-// LayoutChanged, OwnerChanged or IsolationChanged.
+// LayoutChanged, OwnerChanged, SteppedDown or IsolationChanged.
 type Action any
 
 // Send sends a message to a process: a Heartbeat, Orders, Withdrawal, TaskEnds,
@@ -121,6 +121,10 @@
 	Isolated bool
 }
 
+// SteppedDown reports that this instance gives up the endpoints, since its calls
+// to them are late.
+type SteppedDown struct{}
+
 // IsolationChanged reports a change of whether this instance is linked only to
 // a minority of the fleet.
 type IsolationChanged struct{ Isolated bool }
@@ -188,6 +192,9 @@
 // Tick checks all timeouts and returns the actions that are due.
 func (c *Core) Tick(now time.Time) []Action {
 	c.updateLayout(now)
+	if c.view.StepDown(now, c.pool.Late()) {
+		c.pending = append(c.pending, SteppedDown{})
+	}
 	due, timedOut := c.view.Tick(now)
 	for _, s := range timedOut {
 		c.pending = append(c.pending, CloseLink{Peer: s})
--- a/internal/decide/dispatcher/fleet_test.go
+++ b/internal/decide/dispatcher/fleet_test.go
@@ -181,6 +181,8 @@
 	// divisions counts the instances that saw the fleet divided, once for each
 	// time.
 	divisions int
+	// steppedDown counts the owners that stepped down.
+	steppedDown int
 }
 
 const (
@@ -410,6 +412,8 @@
 			f.send(n, a)
 		case dispatcher.ReadEndpoints:
 			f.readList(n, n.process)
+		case dispatcher.SteppedDown:
+			f.steppedDown++
 		case dispatcher.LayoutChanged:
 			f.logf("instance %d sees the layout %v", n.index, a.Layout)
 			if a.Layout == group.ByDataCentre {
--- a/internal/decide/leader/view.go
+++ b/internal/decide/leader/view.go
@@ -166,6 +166,11 @@
 	yieldedAt time.Time
 	// held is set while no owner may be chosen; see Hold.
 	held bool
+	// late says how long this instance has been late as the owner, and
+	// handedOverAt when the owner last changed although the one before it was
+	// linked; see StepDown.
+	late         lateness
+	handedOverAt time.Time
 }
 
 // Member is an instance that the store lists. Peers that are linked count as
@@ -319,6 +324,7 @@
 	timedOut = append(timedOut, v.checkPeers(now)...)
 	first, second := v.rank()
 	if v.settled(now) && v.owner != first && v.peerCheckStarted.IsZero() && !v.awaitsSuccessor(now) {
+		v.noteHandover(now)
 		v.owner = first
 		v.startGracePeriod(now)
 	}
--- a/internal/decide/owner/dispatch.go
+++ b/internal/decide/owner/dispatch.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// lateWindow is the size of the window, in starts, below which an owner that holds
+// tasks back is late. It is a quarter of the initial size.
+const lateWindow = 64
+
+// Late reports whether the pool holds tasks back because its calls are answered
+// late.
+func (p *Pool) Late() bool { return p.active && p.heldBack && p.window.Free(0) < lateWindow }
+
 // dispatchNew starts tasks that were just enqueued.
 func (p *Pool) dispatchNew(now time.Time, batches []*batch) {
 	if !p.mayStart(now) {
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -100,6 +100,9 @@
 			p.selectTargets()
 		case dispatcher.OwnerChanged:
 			p.handleOwnerChange(now, a)
+		case dispatcher.SteppedDown:
+			p.counters.stepDowns.Inc()
+			p.log.Warn("giving up the endpoints, since calls to them are late")
 		case dispatcher.IsolationChanged:
 			// This instance has become isolated, or no longer is.
 			// Package logread matches this message.
--- a/internal/process/dispatch/status.go
+++ b/internal/process/dispatch/status.go
@@ -20,6 +20,7 @@
 type processCounters struct {
 	set            *metrics.Set
 	takeovers      *metrics.Counter
+	stepDowns      *metrics.Counter
 	storeFailures  *metrics.Counter
 	messagesUnsent *metrics.Counter
 	noRoute        *metrics.Counter
@@ -38,6 +39,7 @@
 	p.counters = processCounters{
 		set:            p.metrics,
 		takeovers:      p.metrics.NewCounter("hornbeamlift_takeovers_total"),
+		stepDowns:      p.metrics.NewCounter("hornbeamlift_step_downs_total"),
 		storeFailures:  p.metrics.NewCounter("hornbeamlift_store_failures_total"),
 		messagesUnsent: p.metrics.NewCounter("hornbeamlift_messages_unsent_total"),
 		noRoute:        p.metrics.NewCounter("hornbeamlift_requests_without_route_total"),
