--- a/internal/decide/group/layout.go
+++ b/internal/decide/group/layout.go
@@ -76,7 +76,7 @@
 	// firstDelay is the same for an instance that has no layout yet, once it has
 	// a list of endpoints, and whose peers have none. Instances that all restart
 	// at once have registered by then, and serve no one before.
-	firstDelay = 500 * time.Millisecond
+	firstDelay = 300 * time.Millisecond
 	// DefaultMemory is how long an instance that can own all endpoints, and the
 	// most endpoints that were listed, still count. An instance that fails comes
 	// back or is replaced, and so do the endpoints of a data centre that is cut
