--- a/internal/decide/owner/fill.go
+++ b/internal/decide/owner/fill.go
@@ -13,9 +13,13 @@
 // of an endpoint are chosen.
 const maxCandidates = 32
 
-// fill starts waiting tasks on an endpoint that has free room. Those of the
-// first turn that has any come first, and among them those that leave the least
-// room unused; see packing.Choose.
+// maxSearched is the number of batches that a search for candidates visits, which
+// bounds its cost in a flood. The next tick tries the rest.
+const maxSearched = 500
+
+// fill starts waiting tasks on an endpoint that has free room: those that leave
+// the least of it unused, as far as more urgent ones can wait; see eligible and
+// packing.Choose.
 func (p *Pool) fill(now time.Time, e *endpoint) {
 	p.waiting.compact()
 	polledSince := sync.OnceValue(p.allPolledSince)
@@ -41,7 +45,8 @@
 func sizesOf(candidates []candidate, e *endpoint) []float64 {
 	sizes := make([]float64, len(candidates), 2*len(candidates))
 	for i, c := range candidates {
-		sizes[i] = shareOfRoom(c.task.batch.needs.Room, e.Room)
+		// All candidates fit, also those that take most of another resource.
+		sizes[i] = min(shareOfRoom(c.task.batch.needs.Room, e.Room), freeShare(e))
 	}
 	for i, c := range candidates {
 		if len(c.task.batch.queued) > 1 {
@@ -105,9 +110,12 @@
 // now, in the order in which they are served.
 func (p *Pool) candidates(now time.Time, polledSince func() time.Time, e *endpoint) []candidate {
 	var list []candidate
-	free := e.free()
+	free, searched := e.free(), 0
 	for i, turn := range p.waiting.turns(now) {
 		for b := range turn.all() {
+			if searched++; searched > maxSearched {
+				return list
+			}
 			if !b.needs.Room.Fits(free) || !now.Before(b.deadline) || !p.allowed(now, b, e) {
 				continue
 			}
--- a/internal/decide/owner/task.go
+++ b/internal/decide/owner/task.go
@@ -33,10 +33,10 @@
 	// touched is set once a task of the batch has been started or adopted, or
 	// another owner may have started one.
 	touched bool
-	// queued holds the tasks that wait, and place says which list of the queue
+	// queued holds the tasks that wait, and section says which list of the queue
 	// of its priority the batch is in.
-	queued queuedTasks
-	place  place
+	queued  queuedTasks
+	section section
 	// surplus is set if the batch arrived when more waited than could start
 	// soon; see isSurplus.
 	surplus bool
--- a/internal/decide/owner/waiting.go
+++ b/internal/decide/owner/waiting.go
@@ -36,8 +36,8 @@
 	// fresh holds batches of which nothing has started, and surplus those of them
 	// that come after the others.
 	fresh, surplus batchQueue
-	// left is the number of entries in the lists that may be out of date.
-	left int
+	// stale is the number of entries in the lists that may be out of date.
+	stale int
 	// tasks is the number of waiting tasks.
 	tasks int
 	// passed is the work of more urgent tasks that have started while tasks of
@@ -50,11 +50,11 @@
 // Without it, a load of urgent work above the room would starve the others.
 const minShare = 0.1
 
-// place says which list of a priorityQueue a batch is in.
-type place int
+// section says which list of a priorityQueue a batch is in.
+type section int
 
 const (
-	inNone place = iota
+	inNone section = iota
 	inBegun
 	inFresh
 	inSurplus
@@ -87,7 +87,7 @@
 	})
 }
 
-// add adds a task. A batch that is still listed keeps its place.
+// add adds a task. A batch that is still listed keeps its position.
 func (w *waitingTasks) add(t *task) {
 	if t.queued {
 		return
@@ -113,7 +113,7 @@
 	b.load.remove(t)
 	q := w.queue(b.priority)
 	if len(b.queued) == 0 {
-		q.left++
+		q.stale++
 	}
 	if q.tasks--; q.tasks == 0 {
 		q.passed = 0
@@ -169,14 +169,14 @@
 	case b.surplus:
 		wanted = inSurplus
 	}
-	if b.place == wanted {
+	if b.section == wanted {
 		return
 	}
 	q := w.queue(b.priority)
-	if b.place != inNone {
-		q.left++
+	if b.section != inNone {
+		q.stale++
 	}
-	b.place = wanted
+	b.section = wanted
 	switch wanted {
 	case inBegun:
 		q.begun = append(q.begun, b)
@@ -214,16 +214,16 @@
 	}
 }
 
-// maxLeft is the number of outdated entries of a queue from which on compact
+// maxStale is the number of outdated entries of a queue from which on compact
 // drops them.
-const maxLeft = 32
+const maxStale = 32
 
 // compact drops outdated entries once there are many, and queues of priorities
 // that no batch has any more.
 func (w *waitingTasks) compact() {
 	w.queues = slices.DeleteFunc(w.queues, func(q *priorityQueue) bool {
-		if q.left >= maxLeft {
-			q.left = 0
+		if q.stale >= maxStale {
+			q.stale = 0
 			q.begun = compactBatches(q.begun, inBegun)
 			q.fresh.batches = compactBatches(q.fresh.batches, inFresh)
 			q.surplus.batches = compactBatches(q.surplus.batches, inSurplus)
@@ -232,14 +232,14 @@
 	})
 }
 
-// compactBatches drops the batches that are not in that place any more, or have
+// compactBatches drops the batches that are not in that section any more, or have
 // no waiting tasks.
-func compactBatches(batches []*batch, in place) []*batch {
+func compactBatches(batches []*batch, in section) []*batch {
 	return slices.DeleteFunc(batches, func(b *batch) bool {
-		if b.place == in && len(b.queued) == 0 {
-			b.place = inNone
+		if b.section == in && len(b.queued) == 0 {
+			b.section = inNone
 		}
-		return b.place != in
+		return b.section != in
 	})
 }
 
@@ -247,13 +247,13 @@
 // before those of later turns.
 type turn struct {
 	priority int
-	in       place
+	in       section
 	// late is set if the batches can no longer meet their target.
 	late    bool
 	batches []*batch
 }
 
-// parts returns all batches of the queue, by place.
+// parts returns all batches of the queue, by section.
 func (q *priorityQueue) parts() []turn {
 	return []turn{
 		{priority: q.priority, in: inBegun, batches: q.begun}, {priority: q.priority, in: inFresh, batches: q.fresh.batches},
@@ -297,7 +297,7 @@
 func (t *turn) all() iter.Seq[*batch] {
 	return func(yield func(*batch) bool) {
 		for _, b := range t.batches {
-			if b.place == t.in && len(b.queued) > 0 && !yield(b) {
+			if b.section == t.in && len(b.queued) > 0 && !yield(b) {
 				return
 			}
 		}
--- a/internal/decide/owner/waiting_test.go
+++ b/internal/decide/owner/waiting_test.go
@@ -14,7 +14,7 @@
 // that are lost, are listed twice or lose their turn.
 func TestWaitingTasks(t *testing.T) {
 	is := is.New(t)
-	const n = 8 * maxLeft
+	const n = 8 * maxStale
 	now := time.UnixMilli(n / 10)
 	tasks := make([]*task, n)
 	var w waitingTasks
@@ -26,8 +26,8 @@
 	}
 	rank := func(t *task) (late, priority, place int) {
 		b := t.batch
-		place = int(b.place)
-		if b.place != inBegun && b.target.Before(now) {
+		place = int(b.section)
+		if b.section != inBegun && b.target.Before(now) {
 			late = 1
 		}
 		return late, b.priority, place
@@ -74,7 +74,7 @@
 		w.noteStarted(tasks[i].batch)
 	}
 	check()
-	remove(30, 30+4*maxLeft)
+	remove(30, 30+4*maxStale)
 	w.compact()
 	check()
 	for _, q := range w.queues {
@@ -86,7 +86,7 @@
 	remove(0, n)
 	for range 2 {
 		for _, q := range w.queues {
-			q.left = maxLeft
+			q.stale = maxStale
 		}
 		w.compact()
 	}
--- a/internal/decide/packing/packing.go
+++ b/internal/decide/packing/packing.go
@@ -4,9 +4,7 @@
 // an eighth of the room stays unused, and the large tasks wait longest.
 package packing
 
-import (
-	"slices"
-)
+import "slices"
 
 // tolerance is the part of the gap that may stay unused for the sake of the
 // order of the tasks.
@@ -15,16 +13,16 @@
 // Choose returns the position of the task that takes a gap next, or -1 if none
 // fits. The sizes of the tasks are in the order in which they should start. Those
 // that are not eligible, and all beyond that list, can only fill up what the
-// chosen one leaves. The choice is the first task with which nearly the
-// whole gap is used, together with up to two others, or else the one with which
-// most of it is.
+// chosen one leaves. The choice is the first task with which nearly the whole gap
+// is used, together with up to two others, or else the one with which most of it
+// is.
 func Choose(gap float64, sizes []float64, eligible []bool) int {
 	ascending := slices.Clone(sizes)
 	slices.Sort(ascending)
 	best, bestUsed := -1, 0.0
-	for i, eligible := range eligible {
+	for i, mayTake := range eligible {
 		size := sizes[i]
-		if size > gap || !eligible {
+		if size > gap || !mayTake {
 			continue
 		}
 		if used := size + complement(gap-size, ascending, size); best < 0 || used > bestUsed {
