--- a/internal/decide/packing/packing_test.go
+++ b/internal/decide/packing/packing_test.go
@@ -67,13 +67,13 @@
 func bestUse(gap float64, sizes []float64, eligible []bool) float64 {
 	best := 0.0
 	for set := 1; set < 1<<len(sizes); set++ {
-		used, n, any := 0.0, 0, false
+		used, n, hasEligible := 0.0, 0, false
 		for i, size := range sizes {
 			if set>>i&1 == 1 {
-				used, n, any = used+size, n+1, any || eligible[i]
+				used, n, hasEligible = used+size, n+1, hasEligible || eligible[i]
 			}
 		}
-		if any && n <= 3 && used <= gap+1e-9 && used > best {
+		if hasEligible && n <= 3 && used <= gap+1e-9 && used > best {
 			best = used
 		}
 	}
