Show that a late repeat of a request runs a job that was cancelled

Cause: a home keeps the results of finished and failed jobs for repeats, and none of cancelled ones; other instances keep none. Nothing is fixed.

--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// cancelThenDuplicate lets clients hand in a job and cancel it. The disruption:
+// the requests that handed in two of the jobs arrive once more, seconds after
+// their 2xx answer, one at the same node and one at another. All the while
+// another client hands in small jobs.
+func cancelThenDuplicate(w *world) (broken bool) {
+	w.begin(3, 4)
+	defer w.runTraffic()()
+	late := 0
+	for i := range 4 {
+		client, job := fmt.Sprintf("client-%d", i), fmt.Sprintf("5c0e7a21d94b36f%d", i)
+		body, home := jobBody(4, largeCPU, w.takes), w.route(client)
+		handedIn := make(chan answer, 1)
+		go func() { handedIn <- w.call(client, "POST", home, job, body, 4*time.Second) }()
+		time.Sleep(700 * time.Millisecond)
+		cancelled := w.call(client, "DELETE", w.route(client), job, nil, 4*time.Second)
+		if !cancelled.acknowledged() {
+			panic(caseFailed{errNoAck})
+		}
+		first := <-handedIn
+		if first.status/100 != 2 {
+			w.record.add("%s: the job was not accepted", client)
+			continue
+		}
+		time.Sleep(time.Until(cancelled.at.Add(cancelBound + 500*time.Millisecond)))
+		if w.trouble && i >= 2 {
+			to := home
+			if i == 3 {
+				to = w.other(home)
+			}
+			w.call(client, "POST", to, job, body, 4*time.Second)
+		}
+		time.Sleep(500 * time.Millisecond)
+		late += w.lateStarts(job, cancelled.at)
+	}
+	return late > 0
+}
+
+// other returns another node.
+func (w *world) other(than *node) *node {
+	for _, n := range w.nodes {
+		if n != than {
+			return n
+		}
+	}
+	return than
+}
+
+// cancelElsewhere lets clients hand in jobs and cancel them on channels of their
+// own, while the first ones wait for the answer. The disruption: a node is
+// added meanwhile, so that the ingress gives the new channels of most clients to
+// another node than before. The two clients are of those.
+func cancelElsewhere(w *world) (broken bool) {
+	w.begin(3, 2)
+	defer w.runTraffic()()
+	type handed struct {
+		client, job string
+		home        *node
+		ack         time.Time
+	}
+	var list []*handed
+	done := make(chan answer, 8)
+	for i, client := range moving(2, 3, 4) {
+		h := &handed{client: client, job: fmt.Sprintf("a7d94b365c0e21f%d", i)}
+		h.home = w.route(h.client)
+		go func() {
+			done <- w.call(h.client, "POST", h.home, h.job, jobBody(10, largeCPU, w.takes), 13*time.Second)
+		}()
+		list = append(list, h)
+	}
+	if w.trouble {
+		w.start("front-bayan-a-4")
+		w.awaitRotation(4)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, h := range list {
+		a := w.call(h.client, "DELETE", w.route(h.client), h.job, nil, 4*time.Second)
+		if !a.acknowledged() {
+			panic(caseFailed{errNoAck})
+		}
+		h.ack = a.at
+	}
+	for range list {
+		<-done
+	}
+	late := 0
+	for _, h := range list {
+		late += w.lateStarts(h.job, h.ack)
+	}
+	return late > 0
+}
+
+// moving returns clients that the ingress gives to another node once there are
+// more nodes.
+func moving(clients, before, after int) []string {
+	var list []string
+	for i := 0; len(list) < clients; i++ {
+		name := fmt.Sprintf("client-%d", i)
+		if h := hash(name); h%before != h%after {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// cancelDropped lets a client hand in a job, and cancel it once
+// config_apply_ms has passed, with a repeat each second until that is acknowledged. The disruption: the operator
+// removes the job's route right after the job was handed in.
+func cancelDropped(w *world) (broken bool) {
+	w.begin(3, 2)
+	defer w.runTraffic()()
+	const client, job = "client-0", "c1c0a7d94b365e2f"
+	home := w.route(client)
+	done := make(chan answer, 1)
+	go func() { done <- w.call(client, "POST", home, job, jobBody(24, largeCPU, w.takes), 13*time.Second) }()
+	time.Sleep(300 * time.Millisecond)
+	if w.trouble {
+		w.putManifest(9, otherPrefix)
+		w.record.add("operator: version 9, without the route of the job, is confirmed")
+	}
+	time.Sleep(2 * time.Second)
+	first := time.Now()
+	var ended answer
+	for ended.at.IsZero() {
+		if w.call(client, "DELETE", w.route(client), job, nil, 4*time.Second).acknowledged() {
+			ended = <-done
+			break
+		}
+		select {
+		case ended = <-done:
+		case <-time.After(time.Second):
+		}
+	}
+	return w.lateStarts(job, first.Add(ackBound)) > 0
+}
+
+// ackBound is ack_ms: a cancelling that is not acknowledged for that long counts
+// as if it were.
+const ackBound = 4 * time.Second
+
+// runTraffic hands in a small job every 0.2 s until the function that it returns
+// is called.
+func (w *world) runTraffic() (stop func()) {
+	ended, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := 0; ; i++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+			job := fmt.Sprintf("%s%08x", smallJob, i)
+			go w.callOn(otherPrefix, "traffic", "POST", w.route("traffic"), job, jobBody(1, smallCPU, smallTakes), 1500*time.Millisecond)
+		}
+	}()
+	return func() {
+		close(ended)
+		<-done
+	}
+}
+
+const (
+	// smallJob begins the ids of small jobs, whose task works for smallTakes.
+	smallJob   = "0de1f0aa"
+	smallTakes = 60 * time.Millisecond
+	// largeCPU and smallCPU are what a task asks for, in thousandths of a core.
+	largeCPU, smallCPU = 14000, 1000
+)
