Show that jobs fail whose tasks were on workers that were cut off

Cause: the owner counts a lapsed lease as a crash of the worker, and gives up a task after three, although no run of it has failed. Nothing is fixed.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -144,6 +145,50 @@
 // as if it were.
 const ackBound = 4 * time.Second
 
+// cutOff lets clients hand in jobs with a long time budget. The disruption: a
+// sixth of the workers is cut off from all nodes for cutTime, then the next
+// sixth, and so on. No task fails by itself.
+func cutOff(w *world) (broken bool) {
+	w.begin(3, 30)
+	const length, budget = 70 * time.Second, 13 * time.Second
+	answers := make(chan answer, 1000)
+	jobs := 0
+	end := time.Now().Add(length)
+	if w.trouble {
+		go w.cutInTurn(end)
+	}
+	for ; time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		client, job := fmt.Sprintf("client-%d", jobs%20), fmt.Sprintf("3b9ac9ff%08x", jobs)
+		jobs++
+		go func() {
+			answers <- w.call(client, "POST", w.route(client), job, jobBody(3, largeCPU, w.takes), budget)
+		}()
+	}
+	lost := 0
+	for range jobs {
+		if a := <-answers; a.status == 200 && strings.Contains(a.body, "failed") {
+			lost++
+		}
+	}
+	w.record.add("LOST: %d of %d jobs were shown as failed, while no worker listed an end as failed", lost, jobs)
+	return lost > 0
+}
+
+// cutTime is how long a worker is cut off. The limit is 5.5 s.
+const cutTime = 1500 * time.Millisecond
+
+// cutInTurn cuts off a sixth of the workers at a time until end.
+func (w *world) cutInTurn(end time.Time) {
+	for first := 0; time.Now().Before(end); first += len(w.workers) / 6 {
+		for i := range len(w.workers) / 6 {
+			worker := w.workers[(first+i)%len(w.workers)]
+			w.record.add("disruption: %s is cut off for %v", worker.id, cutTime)
+			worker.cut(cutTime)
+		}
+		time.Sleep(cutTime)
+	}
+}
+
 // runTraffic hands in a small job every 0.2 s until the function that it returns
 // is called.
 func (w *world) runTraffic() (stop func()) {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -34,12 +34,14 @@
 	trouble bool
 	store   *store
 	takes   time.Duration
+	workers []*worker
 }
 
 var cases = map[string]func(*world) (broken bool){
 	"cancel-then-duplicate": cancelThenDuplicate,
 	"cancel-elsewhere":      cancelElsewhere,
 	"cancel-dropped":        cancelDropped,
+	"cut-off":               cutOff,
 }
 
 // main exits with 1 if the rule was broken, 0 if it held, and 2 if the case
@@ -95,7 +97,8 @@
 func (w *world) begin(nodes, workers int) {
 	w.putManifest(7, prefix, otherPrefix)
 	for i := range workers {
-		worker := startWorker(fmt.Sprintf("i-7f3a91c%d", i), service, "bayan-a", "r1-1", w.record, w.workOf)
+		worker := startWorker(fmt.Sprintf("i-7f3a91c%x", i), service, "bayan-a", "r1-1", w.record, w.workOf)
+		w.workers = append(w.workers, worker)
 		go worker.register(w.store)
 	}
 	for i := range nodes {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -45,6 +45,8 @@
 	ends    int64
 	acked   int64
 	changed chan struct{}
+	// cutUntil is until when the worker is cut off. It runs on.
+	cutUntil time.Time
 }
 
 func startWorker(id, service, zone, rack string, rec *record, takes func(string) time.Duration) *worker {
@@ -68,6 +70,10 @@
 // register writes the worker's entry at each heartbeat.
 func (w *worker) register(s *store) {
 	for seq := 1; ; seq++ {
+		w.mu.Lock()
+		until := w.cutUntil
+		w.mu.Unlock()
+		time.Sleep(time.Until(until))
 		s.put(serviceKey+w.id, map[string]any{
 			"service": w.service, "addr": w.addr, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 			"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMem, "gpu": 0}, "labels": []string{"a", w.rack},
@@ -103,6 +109,30 @@
 	w.changed = make(chan struct{})
 }
 
+// cut cuts the worker off for d: calls that arrive meanwhile are lost, and so are
+// answers.
+func (w *worker) cut(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutUntil = time.Now().Add(d)
+}
+
+// lost reports whether the worker is cut off. If so, it waits for the end of the
+// cut and closes the channel of a call.
+func (w *worker) lost(rw http.ResponseWriter) bool {
+	w.mu.Lock()
+	until := w.cutUntil
+	w.mu.Unlock()
+	if !time.Now().Before(until) {
+		return false
+	}
+	time.Sleep(time.Until(until))
+	if c, _, err := http.NewResponseController(rw).Hijack(); err == nil {
+		_ = c.Close()
+	}
+	return true
+}
+
 // order is the body of a call to a worker.
 type order struct {
 	Task  string `json:"task"`
@@ -115,6 +145,9 @@
 }
 
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if w.lost(rw) {
+		return
+	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.id {
 		reply(rw, http.StatusMisdirectedRequest, map[string]any{"clock_ms": w.clock()})
 		return
@@ -214,6 +247,9 @@
 			return
 		}
 	}
+	if w.lost(rw) {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	running := [][]any{}
