--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -12,7 +12,8 @@
 // another client hands in small jobs.
 func cancelThenDuplicate(w *world) (broken bool) {
 	w.begin(3, 4)
-	defer w.runTraffic()()
+	stop := w.runTraffic()
+	defer stop()
 	late := 0
 	for i := range 4 {
 		client, job := fmt.Sprintf("client-%d", i), fmt.Sprintf("5c0e7a21d94b36f%d", i)
@@ -53,69 +54,13 @@
 	return than
 }
 
-// cancelElsewhere lets clients hand in jobs and cancel them on channels of their
-// own, while the first ones wait for the answer. The disruption: a node is
-// added meanwhile, so that the ingress gives the new channels of most clients to
-// another node than before. The two clients are of those.
-func cancelElsewhere(w *world) (broken bool) {
-	w.begin(3, 2)
-	defer w.runTraffic()()
-	type handed struct {
-		client, job string
-		home        *node
-		ack         time.Time
-	}
-	var list []*handed
-	done := make(chan answer, 8)
-	for i, client := range moving(2, 3, 4) {
-		h := &handed{client: client, job: fmt.Sprintf("a7d94b365c0e21f%d", i)}
-		h.home = w.route(h.client)
-		go func() {
-			done <- w.call(h.client, "POST", h.home, h.job, jobBody(10, largeCPU, w.takes), 13*time.Second)
-		}()
-		list = append(list, h)
-	}
-	if w.trouble {
-		w.start("front-bayan-a-4")
-		w.awaitRotation(4)
-	}
-	time.Sleep(500 * time.Millisecond)
-	for _, h := range list {
-		a := w.call(h.client, "DELETE", w.route(h.client), h.job, nil, 4*time.Second)
-		if !a.acknowledged() {
-			panic(caseFailed{errNoAck})
-		}
-		h.ack = a.at
-	}
-	for range list {
-		<-done
-	}
-	late := 0
-	for _, h := range list {
-		late += w.lateStarts(h.job, h.ack)
-	}
-	return late > 0
-}
-
-// moving returns clients that the ingress gives to another node once there are
-// more nodes.
-func moving(clients, before, after int) []string {
-	var list []string
-	for i := 0; len(list) < clients; i++ {
-		name := fmt.Sprintf("client-%d", i)
-		if h := hash(name); h%before != h%after {
-			list = append(list, name)
-		}
-	}
-	return list
-}
-
 // cancelDropped lets a client hand in a job, and cancel it once
 // config_apply_ms has passed, with a repeat each second until that is acknowledged. The disruption: the operator
 // removes the job's route right after the job was handed in.
 func cancelDropped(w *world) (broken bool) {
 	w.begin(3, 2)
-	defer w.runTraffic()()
+	stop := w.runTraffic()
+	defer stop()
 	const client, job = "client-0", "c1c0a7d94b365e2f"
 	home := w.route(client)
 	done := make(chan answer, 1)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -39,7 +39,6 @@
 
 var cases = map[string]func(*world) (broken bool){
 	"cancel-then-duplicate": cancelThenDuplicate,
-	"cancel-elsewhere":      cancelElsewhere,
 	"cancel-dropped":        cancelDropped,
 	"cut-off":               cutOff,
 }
