--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -260,27 +261,31 @@
 	reply(rw, http.StatusOK, map[string]any{"clock_ms": w.clock(), "born": w.began.UnixMilli(), "running": running, "ended": w.ended[:min(len(w.ended), 500)]})
 }
 
-// free returns an address on the loopback network that is free now.
+// free returns an address on the loopback network that is free now, outside of
+// the range from which the system takes the ports of its own.
 func free() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", freePorts())
 }
 
 // freePorts returns the first of two adjacent ports that are free now.
 func freePorts() int {
 	for {
-		var port int
-		if _, err := fmt.Sscanf(free(), "127.0.0.1:%d", &port); err != nil {
-			panic(err)
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
-		if err == nil {
-			_ = l.Close()
+		port := 20000 + 2*rand.IntN(5000)
+		if !drawn[port] && isFree(port) && isFree(port+1) {
+			drawn[port] = true
 			return port
 		}
 	}
 }
+
+// drawn holds the ports that freePorts has returned.
+var drawn = map[int]bool{}
+
+func isFree(port int) bool {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
