--- a/review/standin-3/case_drain.go
+++ b/review/standin-3/case_drain.go
@@ -26,7 +26,7 @@
 		return err
 	}
 	owner, others := w.instances[0], w.instances[2:]
-	go w.runLoad(others, 80, 12*time.Second)
+	go w.runLoad(others, 200, 12*time.Second)
 	time.Sleep(time.Second)
 	owner.path.busy.Store(w.trouble)
 	w.record.note("the store turns %s away: %v", owner.name, w.trouble)
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -256,6 +256,13 @@
 		}
 		o.mu.Lock()
 	}
+	if o.cut {
+		// The answer does not get through either.
+		o.mu.Unlock()
+		<-r.Context().Done()
+		o.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	o.advance()
 	running := make([][]any, 0, len(o.runs))
 	for _, run := range o.runs {
