--- a/review/standin-3/case_drain.go
+++ b/review/standin-3/case_drain.go
@@ -17,7 +17,7 @@
 }
 
 // runDrainCase lets a worker drain while the store turns the owner of the
-// workers away, and kills the owner when all has been calm again.
+// workers away, and stops the owner when all has been calm again.
 func runDrainCase(w *world) error {
 	// The owner's helpers are the two peers with the lowest names. The one that
 	// follows it as the owner is none of them.
@@ -37,7 +37,7 @@
 	w.record.note("the store serves all")
 	time.Sleep(calmTime)
 	if w.trouble {
-		owner.kill()
+		go owner.terminate()
 	}
 	time.Sleep(4 * time.Second)
 	return nil
