--- a/review/standin-3/case_drain.go
+++ b/review/standin-3/case_drain.go
@@ -22,7 +22,7 @@
 	// The owner's helpers are the two peers with the lowest names. The one that
 	// follows it as the owner is none of them.
 	names := []string{"front-bayan-a-1", "front-bayan-a-6", "front-bayan-a-2", "front-bayan-a-3", "front-bayan-a-4", "front-bayan-a-5"}
-	if err := w.startSite(4, names...); err != nil {
+	if err := w.startSite(16, names...); err != nil {
 		return err
 	}
 	owner, others := w.instances[0], w.instances[2:]
