--- a/review/standin-4/client.go
+++ b/review/standin-4/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +12,12 @@
 	"time"
 )
 
+var (
+	errNotStarted   = errors.New("the task of a job has not started")
+	errNotServed    = errors.New("a job of another client is not served")
+	errNotCancelled = errors.New("a job was not cancelled")
+)
+
 // answer is what a client got for a call. The status is zero without one.
 type answer struct {
 	status int
@@ -67,3 +74,12 @@
 	go func() { c <- w.call(f, http.MethodPost, job, body, deadline) }()
 	return c
 }
+
+// checkServed submits a short job, to show that the deployment works.
+func (w *world) checkServed(f *front) error {
+	a := <-w.submit(f, newJobID(), jobOf(1, 4000, 100*time.Millisecond), 2*time.Second)
+	if a.status != http.StatusOK {
+		return errNotServed
+	}
+	return nil
+}
--- a/review/standin-4/front.go
+++ b/review/standin-4/front.go
@@ -117,11 +117,6 @@
 	return f, nil
 }
 
-func (f *front) signal(s syscall.Signal) {
-	f.world.record.printf("front %s gets %v", f.name, s)
-	_ = f.cmd.Process.Signal(s)
-}
-
 // end kills the process and waits for it.
 func (f *front) end() {
 	f.once.Do(func() {
--- a/review/standin-4/main.go
+++ b/review/standin-4/main.go
@@ -22,10 +22,8 @@
 // cases holds the cases by name. A case runs without its disruption unless
 // trouble is set.
 var cases = map[string]func(rec *record, program string, trouble bool) (outcome, error){
-	"duplicate-after-cancel": runDuplicateAfterCancel,
-	"cancel-elsewhere":       runCancelElsewhere,
-	"stale-drain":            runStaleDrain,
-	"cut-workers":            runCutWorkers,
+	"task-stands-still": runTaskStandsStill,
+	"jobs-cancelled":    runJobsCancelled,
 }
 
 func main() { os.Exit(int(run())) }
--- a/review/standin-4/record.go
+++ b/review/standin-4/record.go
@@ -29,6 +29,3 @@
 	defer r.mu.Unlock()
 	_, _ = fmt.Fprintf(r.out, "%8d ms  %s\n", time.Since(r.begin).Milliseconds(), fmt.Sprintf(format, args...))
 }
-
-// since returns a time as it stands in the record, in milliseconds.
-func (r *record) since(t time.Time) int64 { return t.Sub(r.begin).Milliseconds() }
--- a/review/standin-4/store.go
+++ b/review/standin-4/store.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// storeLatency is how long the store takes to answer.
-	storeLatency = 4 * time.Millisecond
+	// storeLatency is how long an answer of the store takes: 4 ms there, and 1.4 ms
+	// each way from another zone.
+	storeLatency = 4*time.Millisecond + 2*1400*time.Microsecond
 	// watchStep is the interval at which a waiting watch looks for changes.
 	watchStep = 2 * time.Millisecond
 )
--- a/review/standin-4/worker.go
+++ b/review/standin-4/worker.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -17,8 +19,17 @@
 	beatInterval = 1500 * time.Millisecond
 	// clockOffset is what the worker's clock shows at its start.
 	clockOffset = 1000
+	// minStop and maxStop are how long a stop takes, below the bound stop_ms.
+	minStop = 5 * time.Millisecond
+	maxStop = 45 * time.Millisecond
+	// workerCPU is the capacity of a worker in thousandths of a core.
+	workerCPU = 32000
 )
 
+// listStopping makes the workers list what is being stopped as running. The pages
+// do not say whether they do.
+var listStopping = os.Getenv("LIST_STOPPING") == "1"
+
 // taskRun is a run of a task on a worker.
 type taskRun struct {
 	task  string
@@ -55,10 +66,9 @@
 	ended    [][]any
 	lastEnd  int64
 	highest  map[string]int
-	draining bool
 	seq      int
-	// cutUntil is the end of the latest cut, or zero.
-	cutUntil time.Time
+	// stalled is set while the tasks here stand still.
+	stalled bool
 }
 
 func newWorker(w *world, id, zone string) (*worker, error) {
@@ -88,52 +98,20 @@
 func (k *worker) writeEntry() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if time.Now().Before(k.cutUntil) {
-		return
-	}
 	k.seq++
 	entry := map[string]any{
 		"service": k.world.service, "addr": k.address, "zone": k.zone, "version": "1.0", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": k.seq,
-		"born": k.born.UnixMilli(), "capacity": map[string]int{"cpu": 32000, "mem_mb": 131072}, "labels": []string{"a", "r-" + k.zone},
-	}
-	if k.draining {
-		entry["state"], entry["remaining_ms"] = "draining", 5000
+		"born": k.born.UnixMilli(), "capacity": map[string]int{"cpu": workerCPU, "mem_mb": 131072}, "labels": []string{"a", "r-" + k.zone},
 	}
 	k.world.store.put("servers/"+k.id, entry)
 }
 
-// cut cuts the worker off for a time: it gets no call, no answer leaves it, and
-// it runs on. Its channels hang meanwhile and are then closed.
-func (k *worker) cut(d time.Duration) {
-	k.mu.Lock()
-	k.cutUntil = time.Now().Add(d)
-	k.mu.Unlock()
-	k.world.record.printf("worker %s is cut off for %d ms", k.id, d.Milliseconds())
-}
-
-// isCut reports whether the worker is cut off. If it is, the call of w is
-// dropped when the cut ends, or when its caller has given up.
-func (k *worker) isCut(w http.ResponseWriter) bool {
-	k.mu.Lock()
-	left := time.Until(k.cutUntil)
-	k.mu.Unlock()
-	if left <= 0 {
-		return false
-	}
-	time.Sleep(left)
-	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-		_ = conn.Close()
-	}
-	return true
-}
-
-// drain makes the worker report that it drains, at once.
-func (k *worker) drain() {
+// stall makes the tasks on the worker stand still from now on, or go on.
+func (k *worker) stall(on bool) {
 	k.mu.Lock()
-	k.draining = true
+	k.stalled = on
 	k.mu.Unlock()
-	k.writeEntry()
-	k.world.record.printf("worker %s reports draining", k.id)
+	k.world.record.printf("tasks on worker %s stand still: %v", k.id, on)
 }
 
 func (k *worker) runClock() {
@@ -154,7 +132,7 @@
 			k.end(r, "lapsed")
 		case !r.stopAt.IsZero() && now.After(r.stopAt):
 			k.end(r, "stopped")
-		case now.Sub(r.began) >= k.world.duration(r.task):
+		case !k.stalled && now.Sub(r.began) >= k.world.duration(r.task):
 			k.end(r, "done")
 		}
 	}
@@ -186,9 +164,6 @@
 
 // ServeHTTP answers a call.
 func (k *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if k.isCut(w) {
-		return
-	}
 	var body callBody
 	if json.NewDecoder(r.Body).Decode(&body) != nil {
 		k.answer(w, http.StatusBadRequest, "")
@@ -250,6 +225,7 @@
 		r := &taskRun{task: body.Task, run: body.Run, began: time.Now()}
 		k.runs = append(k.runs, r)
 		k.world.noteStart(k, r)
+		k.checkRoom(r)
 	}
 	k.mu.Unlock()
 	if reason != "" {
@@ -259,12 +235,28 @@
 	k.answer(w, http.StatusOK, "")
 }
 
+// checkRoom notes a start that brings the worker over its capacity. What is being
+// stopped counts.
+func (k *worker) checkRoom(r *taskRun) {
+	used, stopping := 0, 0
+	for _, o := range k.runs {
+		cpu := k.world.cpu(o.task)
+		used += cpu
+		if !o.stopAt.IsZero() {
+			stopping += cpu
+		}
+	}
+	if used > workerCPU {
+		k.world.noteOver(k, r, used, stopping)
+	}
+}
+
 func (k *worker) stop(w http.ResponseWriter, body *callBody) {
 	k.mu.Lock()
 	k.highest[body.Task] = max(k.highest[body.Task], body.Run)
 	for _, r := range k.runs {
 		if r.task == body.Task && r.run == body.Run && r.stopAt.IsZero() {
-			r.stopAt = time.Now().Add(20 * time.Millisecond)
+			r.stopAt = time.Now().Add(minStop + rand.N(maxStop-minStop))
 		}
 	}
 	k.mu.Unlock()
@@ -287,7 +279,13 @@
 	}
 	running := [][]any{}
 	for _, t := range k.runs {
-		percent := int(min(99, 100*time.Since(t.began)/k.world.duration(t.task)))
+		if !t.stopAt.IsZero() && !listStopping {
+			continue // its end is listed once it is stopped
+		}
+		percent := 0
+		if !k.stalled {
+			percent = int(min(99, 100*time.Since(t.began)/k.world.duration(t.task)))
+		}
 		running = append(running, []any{t.task, t.run, "", percent, 0})
 	}
 	ended := k.ended[:min(len(k.ended), 500)]
@@ -296,7 +294,5 @@
 	}
 	lists := map[string]any{"clock_ms": k.clock(), "born": k.born.UnixMilli(), "running": running, "ended": ended}
 	k.mu.Unlock()
-	if !k.isCut(w) {
-		reply(w, http.StatusOK, lists)
-	}
+	reply(w, http.StatusOK, lists)
 }
--- a/review/standin-4/world.go
+++ b/review/standin-4/world.go
@@ -13,11 +13,6 @@
 const (
 	routeHost   = "decals.example"
 	routePrefix = "/proofs/"
-	// cancelTime and stopTime are the bounds cancel_ms and stop_ms.
-	cancelTime = 3000 * time.Millisecond
-	stopTime   = 50 * time.Millisecond
-	// drainTime is the bound drain_ms.
-	drainTime = 2000 * time.Millisecond
 	// calmTime is the bound stability_ms.
 	calmTime = 3000 * time.Millisecond
 )
@@ -35,7 +30,11 @@
 
 	mu        sync.Mutex
 	durations map[string]time.Duration
+	cpus      map[string]int
 	starts    []*startEvent
+	// over counts the starts that brought a worker over its capacity, and beside
+	// those of a task of which another run was at work.
+	over, beside int
 }
 
 func newWorld(rec *record, program string, workers int) (*world, error) {
@@ -43,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{record: rec, dir: dir, program: program, service: "sheet-render", store: newStore(), durations: map[string]time.Duration{}}
+	w := &world{record: rec, dir: dir, program: program, service: "sheet-render", store: newStore(), durations: map[string]time.Duration{}, cpus: map[string]int{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -111,6 +110,29 @@
 	w.durations[job] = d
 }
 
+// planCPU sets what the tasks of a job need, in thousandths of a core.
+func (w *world) planCPU(job string, cpu int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cpus[job] = cpu
+}
+
+// cpu returns what a task needs.
+func (w *world) cpu(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	job, _, _ := strings.Cut(task, ".")
+	return w.cpus[job]
+}
+
+// noteOver records a start that brought a worker over its capacity.
+func (w *world) noteOver(k *worker, r *taskRun, used, stopping int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over++
+	w.record.printf("LIMIT: %s run %d brings worker %s to %d of %d, of which %d is being stopped", r.task, r.run, k.id, used, workerCPU, stopping)
+}
+
 // duration returns how long a task runs.
 func (w *world) duration(task string) time.Duration {
 	w.mu.Lock()
@@ -125,6 +147,12 @@
 func (w *world) noteStart(k *worker, r *taskRun) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for _, s := range w.starts {
+		if s.task == r.task && s.ended.IsZero() {
+			w.beside++
+			w.record.printf("TWICE: %s run %d starts on worker %s beside run %d on worker %s", r.task, r.run, k.id, s.run, s.worker)
+		}
+	}
 	w.starts = append(w.starts, &startEvent{task: r.task, run: r.run, worker: k.id, began: r.began})
 	w.record.printf("worker %s starts %s run %d", k.id, r.task, r.run)
 }
