--- a/review/standin-4/case_stall.go
+++ b/review/standin-4/case_stall.go
@@ -2,8 +2,18 @@
 
 import "time"
 
-// runTaskStandsStill makes the tasks on one of ten workers stand still. The owner
-// stops such a run and starts the task elsewhere.
+const (
+	// stallRounds is how often tasks stand still, each time on one worker of ten
+	// and for stallTime.
+	stallRounds = 3
+	stallTime   = 2 * time.Second
+	// stallTasks and stallCPU are the tasks of a job, which fit on one worker.
+	stallTasks = 8
+	stallCPU   = 3500
+)
+
+// runTaskStandsStill makes the tasks of a job stand still on the worker that has
+// them. The owner stops the runs and starts the tasks elsewhere.
 func runTaskStandsStill(rec *record, program string, trouble bool) (outcome, error) {
 	w, err := newWorld(rec, program, 10)
 	if err != nil {
@@ -13,23 +23,19 @@
 	if err := w.startFronts("bayan-a", "george-b", "jelutong-c"); err != nil {
 		return failed, err
 	}
-	f, still := w.fronts[1], w.workers[0]
-	if trouble {
-		still.stall(true)
-	}
-	var answers []<-chan answer
-	for range 20 {
+	f := w.fronts[1]
+	for range stallRounds {
 		id := newJobID()
 		w.plan(id, 200*time.Millisecond)
-		answers = append(answers, w.submit(f, id, jobOf(8, 3500, 200*time.Millisecond), 6*time.Second))
-		time.Sleep(100 * time.Millisecond)
-	}
-	time.Sleep(2 * time.Second)
-	if trouble {
-		still.stall(false)
-	}
-	for _, c := range answers {
-		<-c
+		answered := w.submit(f, id, jobOf(stallTasks, stallCPU, 200*time.Millisecond), 6*time.Second)
+		if !w.awaitStarts(id, stallTasks, 2*time.Second) {
+			return failed, errNotStarted
+		}
+		if trouble {
+			w.stallWorkerOf(w.startsOf(id)[0])
+		}
+		<-answered
+		time.Sleep(time.Second)
 	}
 	if err := w.checkServed(f); err != nil {
 		return failed, err
@@ -41,3 +47,14 @@
 	}
 	return held, nil
 }
+
+// stallWorkerOf makes the tasks on the worker of a start stand still for stallTime.
+func (w *world) stallWorkerOf(s startEvent) {
+	for _, k := range w.workers {
+		if k.id == s.worker {
+			k.stall(true)
+			time.Sleep(stallTime)
+			k.stall(false)
+		}
+	}
+}
--- a/review/standin-4/worker.go
+++ b/review/standin-4/worker.go
@@ -58,15 +58,15 @@
 	zone    string
 	server  *http.Server
 
-	mu       sync.Mutex
-	born     time.Time
-	fence    int64
-	until    int64
-	runs     []*taskRun
-	ended    [][]any
-	lastEnd  int64
-	highest  map[string]int
-	seq      int
+	mu      sync.Mutex
+	born    time.Time
+	fence   int64
+	until   int64
+	runs    []*taskRun
+	ended   [][]any
+	lastEnd int64
+	highest map[string]int
+	seq     int
 	// stalled is set while the tasks here stand still.
 	stalled bool
 }
