--- a/review/standin-4/front.go
+++ b/review/standin-4/front.go
@@ -71,13 +71,19 @@
 
 // freePorts returns ports on which nothing listens.
 func freePorts(n int) ([]int, error) {
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
 	var ports []int
 	for range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = l.Close() }()
+		listeners = append(listeners, l)
 		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
 	return ports, nil
