--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -67,6 +67,22 @@
 	GPU int64
 }
 
+// The largest amounts that a task may need or an endpoint may have. They are far
+// above the largest machine, and sums over all endpoints and runs of a fleet stay
+// within 64 bits.
+const (
+	// MaxCPU is in thousandths of a processor core.
+	MaxCPU = 10_000_000
+	// MaxMemory is in megabytes.
+	MaxMemory = 1 << 30
+	MaxGPU    = 10_000
+)
+
+// InRange reports whether no amount is negative or above the largest one.
+func (r Room) InRange() bool {
+	return min(r.CPU, r.Memory, r.GPU) >= 0 && r.CPU <= MaxCPU && r.Memory <= MaxMemory && r.GPU <= MaxGPU
+}
+
 // Fits reports whether each resource of r is at most that of free.
 func (r Room) Fits(free Room) bool {
 	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.GPU <= free.GPU
