platform: bound the numbers in the replies of endpoints

By reading, not shown in a running fleet: a clock of 2^63-1 ms plus a lease is a lease end in the past, so that the owner takes the lease for expired while the run goes on, and starts the task elsewhere; a run number of 2^63-1 plus 1 or 100 is negative; a task index of 2^32 is sent to the peers as index 0 of the same step in a record of crashes, or an end.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -39,8 +39,12 @@
 	return string(b)
 }
 
+// keyNumberBits is the size of the numbers of a key. Peers send them as 32 bits
+// without a sign.
+const keyNumberBits = 31
+
 // ParseKey parses a key in the form of String. It returns false if s is
-// malformed.
+// malformed or a number in it has more than keyNumberBits.
 func ParseKey(s string) (Key, bool) {
 	var n [3]int
 	for i := len(n) - 1; i >= 0; i-- {
@@ -48,11 +52,11 @@
 		if dot < 0 {
 			return Key{}, false
 		}
-		v, err := strconv.Atoi(s[dot+1:])
-		if err != nil || v < 0 {
+		v, err := strconv.ParseUint(s[dot+1:], 10, keyNumberBits)
+		if err != nil {
 			return Key{}, false
 		}
-		n[i], s = v, s[:dot]
+		n[i], s = int(v), s[:dot]
 	}
 	return Key{Job: ID(s), Occurrence: n[0], Step: n[1], Index: n[2]}, s != ""
 }
@@ -164,6 +168,10 @@
 	Priority int
 }
 
+// MaxRun is the highest number of a run that is accepted from elsewhere. The
+// numbers of later runs of the task still fit into 32 bits, as peers send them.
+const MaxRun = 1 << 31
+
 // Outcome is the outcome of a task, as the owner reports it to the home.
 type Outcome int
 
