dispatch: bound the numbers in the messages of peers

A peer of an earlier version may send on what a caller has sent it.

By reading, not shown in a running fleet: a deadline in microseconds overflows as a time.Duration; an endpoint's room of 2^63-1 overflows in the sums of a service; a run number of 2^32-1 plus 1 is sent as 0; an epoch of 2^43 or more does not fit into a fence, so that the next owner's fence is lower than those before; a time of sending of 2^63 ms makes later ages of the configuration look old. Shown by the tests: all of these were accepted, and the last one's effect.

Change: rooms, times and run numbers of orders, ends and lists are limited, since dropping the message would lose the other orders in it. A heartbeat with an epoch above 2^40 or a seniority out of range is malformed, as neither can be limited: the first must grow and the second must order instances alike everywhere. An age whose time of sending is out of range is ignored.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -87,6 +87,11 @@
 	return min(r.CPU, r.Memory, r.GPU) >= 0 && r.CPU <= MaxCPU && r.Memory <= MaxMemory && r.GPU <= MaxGPU
 }
 
+// Clamp returns r with each amount limited to its range.
+func (r Room) Clamp() Room {
+	return Room{CPU: min(max(r.CPU, 0), MaxCPU), Memory: min(max(r.Memory, 0), MaxMemory), GPU: min(max(r.GPU, 0), MaxGPU)}
+}
+
 // Fits reports whether each resource of r is at most that of free.
 func (r Room) Fits(free Room) bool {
 	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.GPU <= free.GPU
--- a/internal/decide/owner/protocol.go
+++ b/internal/decide/owner/protocol.go
@@ -18,6 +18,10 @@
 // exactly, while its epoch is below 2^33.
 const fenceUniqueBits = 20
 
+// MaxEpoch is the highest epoch that is accepted from a peer. A fence holds it and
+// those that new owners and raised fences add to it.
+const MaxEpoch = 1 << 40
+
 // NewFence returns the fence of an epoch for a process.
 func NewFence(epoch uint64, unique uint32) Fence {
 	return Fence(epoch<<fenceUniqueBits | uint64(unique)&(1<<fenceUniqueBits-1))
--- a/internal/process/dispatch/config_sync.go
+++ b/internal/process/dispatch/config_sync.go
@@ -120,16 +120,29 @@
 // handleConfigReport handles what a peer says about its configuration.
 func (p *Process) handleConfigReport(now time.Time, from ident.Process, r configReport) {
 	own := p.configVersion()
+	p.configSync.observeAge(now, from, r, own)
+	p.logNewerVersion(now, string(from.Instance), r.version)
+	p.configSync.fetcher.Observe(now, from, r.version, own, r.size)
+}
+
+// maxUptime bounds the time since the start of a peer that it sends, so that it
+// can be subtracted from other times.
+const maxUptime = 100 * 365 * 24 * time.Hour
+
+// observeAge records how old a peer says its configuration is. It ignores a report
+// whose time of sending is out of range.
+func (s *configSync) observeAge(now time.Time, from ident.Process, r configReport, own uint64) {
+	if r.sent > uint64(maxUptime.Milliseconds()) {
+		return
+	}
 	var delay time.Duration
 	if r.sent > 0 {
-		delay = p.configSync.delays.Observe(now, from, time.Duration(r.sent-1)*time.Millisecond)
+		delay = s.delays.Observe(now, from, time.Duration(r.sent-1)*time.Millisecond)
 	}
 	if r.age > 0 {
 		age := time.Duration(r.age-1) * time.Millisecond
-		p.configSync.syncer.Observe(now.Add(-age-delay), r.version, own)
+		s.syncer.Observe(now.Add(-age-delay), r.version, own)
 	}
-	p.logNewerVersion(now, string(from.Instance), r.version)
-	p.configSync.fetcher.Observe(now, from, r.version, own, r.size)
 }
 
 // readConfigFor reads the configuration for a peer, which is sent the result in
--- a/internal/process/dispatch/wire.go
+++ b/internal/process/dispatch/wire.go
@@ -48,19 +48,7 @@
 func decode(m *peerpb.Message) (any, bool) {
 	switch body := m.GetBody().(type) {
 	case *peerpb.Message_Pulse:
-		return dispatcher.Heartbeat{
-			Heartbeat: leader.Heartbeat{
-				Seniority: leader.Seniority(body.Pulse.GetSeniority()), Epoch: body.Pulse.GetEpoch(), Draining: body.Pulse.GetDraining(),
-				Processors: int64(body.Pulse.GetProcessors()), Followers: int(body.Pulse.GetFollowers()),
-				Owner: ident.Process{
-					Instance: ident.InstanceID(body.Pulse.GetOwner()), Incarnation: ident.Incarnation(body.Pulse.GetOwnerIncarnation()),
-				},
-			},
-			ListAge: time.Duration(body.Pulse.GetListAgeMs()) * time.Millisecond,
-			Layout:  group.Layout(body.Pulse.GetLayout()), RequestReply: body.Pulse.GetAsk(), ReadList: body.Pulse.GetReadList(),
-			LastPlacement: body.Pulse.GetLastPlacement(), Released: body.Pulse.GetReleased(),
-			ListDigest: body.Pulse.GetListDigest(),
-		}, true
+		return decodeHeartbeat(body.Pulse)
 	case *peerpb.Message_PlaceOrders:
 		orders, ok := decodeOrders(body.PlaceOrders)
 		return dispatcher.Orders(orders), ok
@@ -78,6 +66,30 @@
 	return nil, false
 }
 
+// maxSeniority is the highest seniority that is accepted from a peer, in Unix
+// milliseconds. An instance that ranks after a peer adds to that peer's.
+const maxSeniority = 1 << 53
+
+// decodeHeartbeat returns false if the epoch or the seniority is out of range.
+// Neither can be limited instead: the epochs of owners must grow, and the order of
+// instances must be the same everywhere.
+func decodeHeartbeat(m *peerpb.Pulse) (dispatcher.Heartbeat, bool) {
+	if m.GetEpoch() > owner.MaxEpoch || m.GetSeniority() < 0 || m.GetSeniority() > maxSeniority {
+		return dispatcher.Heartbeat{}, false
+	}
+	return dispatcher.Heartbeat{
+		Heartbeat: leader.Heartbeat{
+			Seniority: leader.Seniority(m.GetSeniority()), Epoch: m.GetEpoch(), Draining: m.GetDraining(),
+			Processors: int64(m.GetProcessors()), Followers: int(m.GetFollowers()),
+			Owner: ident.Process{Instance: ident.InstanceID(m.GetOwner()), Incarnation: ident.Incarnation(m.GetOwnerIncarnation())},
+		},
+		ListAge: time.Duration(m.GetListAgeMs()) * time.Millisecond,
+		Layout:  group.Layout(m.GetLayout()), RequestReply: m.GetAsk(), ReadList: m.GetReadList(),
+		LastPlacement: m.GetLastPlacement(), Released: m.GetReleased(),
+		ListDigest: m.GetListDigest(),
+	}, true
+}
+
 func encodeOrders(orders []job.Order) *peerpb.Message {
 	body := &peerpb.PlaceOrders{Orders: make([]*peerpb.Order, len(orders))}
 	for i := range orders {
@@ -100,7 +112,8 @@
 }
 
 // decodeOrders returns the orders, and false when an order has different
-// numbers of task indexes and first runs (job.Order.MinRuns).
+// numbers of task indexes and first runs (job.Order.MinRuns). Numbers out of range
+// are limited, so that the other orders in the message are kept.
 func decodeOrders(body *peerpb.PlaceOrders) ([]job.Order, bool) {
 	orders := make([]job.Order, len(body.GetOrders()))
 	for i, m := range body.GetOrders() {
@@ -114,26 +127,37 @@
 				RequiredLabel: m.GetRequiredLabel(), Affinity: m.GetAffinity(), SameRack: m.GetSameRack(),
 				MaxPerEndpoint: int(m.GetMaxPerEndpoint()),
 			},
-			Target:         time.Duration(m.GetTargetUs()) * time.Microsecond,
-			Deadline:       time.Duration(m.GetDeadlineUs()) * time.Microsecond,
+			Target:         decodeMicroseconds(m.GetTargetUs()),
+			Deadline:       decodeMicroseconds(m.GetDeadlineUs()),
 			MayHaveStarted: m.GetHanded(), PlacedWhole: m.GetPlacedWhole(), Placement: m.GetPlacement(),
 			Priority: int(m.GetPriority()),
 		}
 		for k := range m.GetIndexes() {
 			o.Indexes = append(o.Indexes, int(m.GetIndexes()[k]))
-			o.MinRuns = append(o.MinRuns, int(m.GetFirstRuns()[k]))
+			o.MinRuns = append(o.MinRuns, decodeRun(m.GetFirstRuns()[k]))
 		}
 		orders[i] = o
 	}
 	return orders, true
 }
 
+// maxRemaining bounds the times left that a peer sends, in both directions, so that
+// the receiver can add to them. It is far above the longest deadline.
+const maxRemaining = 365 * 24 * time.Hour
+
+func decodeMicroseconds(us int64) time.Duration {
+	return time.Duration(min(max(us, -maxRemaining.Microseconds()), maxRemaining.Microseconds())) * time.Microsecond
+}
+
+// decodeRun returns the number of a run, limited to job.MaxRun.
+func decodeRun(n uint32) int { return min(int(n), job.MaxRun) }
+
 func encodeRoom(r job.Room) *peerpb.Room {
 	return &peerpb.Room{Cpu: r.CPU, Memory: r.Memory, Gpu: r.GPU}
 }
 
 func decodeRoom(m *peerpb.Room) job.Room {
-	return job.Room{CPU: m.GetCpu(), Memory: m.GetMemory(), GPU: m.GetGpu()}
+	return job.Room{CPU: m.GetCpu(), Memory: m.GetMemory(), GPU: m.GetGpu()}.Clamp()
 }
 
 func encodeEnds(ends []job.TaskEnd) *peerpb.Message {
@@ -155,7 +179,7 @@
 	for i, m := range body.GetEnds() {
 		ends[i] = job.TaskEnd{
 			Key: job.Key{Job: job.ID(m.GetJob()), Step: int(m.GetStep()), Index: int(m.GetIndex())},
-			Run: int(m.GetRun()), Outcome: job.Outcome(m.GetOutcome()), Endpoint: ident.EndpointID(m.GetEndpoint()),
+			Run: decodeRun(m.GetRun()), Outcome: job.Outcome(m.GetOutcome()), Endpoint: ident.EndpointID(m.GetEndpoint()),
 			RunTime:    time.Duration(m.GetRanUs()) * time.Microsecond,
 			Waited:     time.Duration(m.GetWaitedUs()) * time.Microsecond,
 			RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
