quota: bound the units that others want or hold

By the tests, not seen in a fleet: with 2^63-1 units at each of two other data centres, or 12 of 12 units at one and -2^63+1 at another, the subtraction overflows and this data centre gets all 12 units of a limit that others hold. Two instances that want 2^62 units each make the sum negative, and their data centre gets none.

Change: units read from the record are limited to the range from 0 to 2^50, and so are those that an instance wants.

--- a/internal/decide/quota/granter.go
+++ b/internal/decide/quota/granter.go
@@ -128,7 +128,7 @@
 	if r.Number <= s.lastRequest {
 		return answer
 	}
-	s.lastRequest, s.want, s.lastRequestAt = r.Number, r.Units, now
+	s.lastRequest, s.want, s.lastRequestAt = r.Number, min(r.Units, maxUnits), now
 	s.grants = prune(s.grants, now, r.Units)
 	others := g.totalOutstanding(r.Limit, now) - s.outstanding(now)
 	total := g.available(l, now)
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -218,8 +218,14 @@
 	return kept
 }
 
-// maxCount is the largest Count. As a cap of units it has no effect.
-const maxCount Count = 1<<63 - 1
+const (
+	// maxCount is the largest Count. As a cap of units it has no effect.
+	maxCount Count = 1<<63 - 1
+	// maxUnits is the largest number of units that counts of what an instance or
+	// a data centre wants or holds. It is as high as the highest limit, and the
+	// sum of thousands of them is in range.
+	maxUnits Count = 1 << 50
+)
 
 // fairShares divides total between wants by max-min fairness: no share is
 // larger than what is wanted, and the shares that are smaller than what is
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -309,6 +309,44 @@
 	return r
 }
 
+// TestOddRecordFreesNoUnits guards against a record of the store whose numbers
+// overflow where the units of the other data centres are subtracted from a limit,
+// so that this data centre gets units that another one holds.
+func TestOddRecordFreesNoUnits(t *testing.T) {
+	limit := quota.Limit{Name: team, Max: 12, DataCentres: dataCentres(3)}
+	request := quota.RebalanceRequest{
+		Granter: ident.Process{Instance: "a", Incarnation: 1}, WriteNumber: 1, Limits: []quota.Limit{limit}, Want: map[quota.LimitName]quota.Count{team: 12},
+	}
+	const highest = 1<<63 - 1
+	for name, held := range map[string][2]quota.Count{"usual": {12, 0}, "negative": {12, -highest}, "sum of two": {highest, highest}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			state := func(n quota.Count) quota.DataCentreState {
+				return quota.DataCentreState{Granter: "b", Incarnation: 1, Shares: map[quota.LimitName]quota.Count{team: n}}
+			}
+			value, err := quota.Record{DataCentres: map[ident.DataCentre]quota.DataCentreState{"dc-2": state(held[0]), "dc-3": state(held[1])}}.Value()
+			is.NoErr(err)
+			record, err := quota.ParseRecord(value)
+			is.NoErr(err)
+			_, granted := quota.Rebalance(record, "dc-1", request, start)
+			is.Equal(granted[team], quota.Count(0))
+		})
+	}
+}
+
+// TestHugeWantsAreAdded guards against wants of instances whose sum overflows, so
+// that their data centre asks for nothing.
+func TestHugeWantsAreAdded(t *testing.T) {
+	is := is.New(t)
+	g := quota.NewGranter(ident.Process{Instance: "a", Incarnation: 1}, "dc-1")
+	g.SetLimits([]quota.Limit{{Name: team, Max: 12, DataCentres: dataCentres(1)}})
+	for _, id := range []ident.InstanceID{"a", "b"} {
+		g.Request(start, quota.ShareRequest{Number: 1, Instance: ident.Process{Instance: id, Incarnation: 1}, Limit: team, Units: 1 << 62})
+	}
+	record, _ := g.Propose(start, quota.Record{})
+	is.Equal(record.DataCentres["dc-1"].Shares[team], quota.Count(12))
+}
+
 // TestStoreCalls guards against a number of store calls that grows with the
 // number of instances.
 func TestStoreCalls(t *testing.T) {
--- a/internal/decide/quota/record.go
+++ b/internal/decide/quota/record.go
@@ -79,9 +79,22 @@
 	if err := json.NewDecoder(io.LimitReader(uncompressed, maxUncompressed)).Decode(&r); err != nil {
 		return Record{}, fault.Wrap(err, fault.Internal, fault.RanNo)
 	}
+	for _, s := range r.DataCentres {
+		clampCounts(s.Shares)
+		clampCounts(s.HourlyUnits)
+		clampCounts(s.Wants)
+	}
 	return r, nil
 }
 
+// clampCounts limits each count to the range from 0 to maxUnits, so that those of
+// all data centres can be added, and subtracted from a limit.
+func clampCounts(counts map[LimitName]Count) {
+	for name, n := range counts {
+		counts[name] = min(max(n, 0), maxUnits)
+	}
+}
+
 // maxUncompressed is the largest uncompressed size of a stored value, in bytes.
 const maxUncompressed = 16 << 20
 
