config: bound the costs of services and teams

Costs of a stored configuration are 64 bits without a sign and were converted to signed ones, multiplied by run times and added over waiting tasks without a bound. By reading, not shown in a fleet: a limit of 2^63 micros an hour became negative and was dropped; one near 2^63 has floors that overflow, as they are calculated in float64; and a reservation of a huge cost overflows in the sum of what is used, and passes.

Change: a configuration is invalid if a slot costs more than 10,000,000,000 micros a second, or if a team's limit is above 2^50 micros an hour. `check` and `apply` name the key.

Result: the two new cases of TestParseRejectsFaultyKey failed before and pass.

--- a/internal/decide/config/parse_test.go
+++ b/internal/decide/config/parse_test.go
@@ -97,6 +97,8 @@
 		"data centre twice":        {"[a, b]", "[a, a]", "services[0].data-centres[1]"},
 		"unknown service in team":  {"services: [press]", "services: [pres]", "teams[0].services[0]"},
 		"team above its services":  {"max-running: 10\n", "max-running: 11\n", "teams[0].max-running"},
+		"cost out of range":        {"floor-share: 0.5", "cost-per-slot-second-micros: 10000000001", "services[0].cost-per-slot-second-micros"},
+		"cost limit out of range":  {"services: [press]", "services: [press]\n  max-cost-per-hour-micros: 9223372036854775808", "teams[0].max-cost-per-hour-micros"},
 	}
 	_, err := config.Parse([]byte(validFile))
 	is.New(t).NoErr(err)
--- a/internal/decide/config/validate.go
+++ b/internal/decide/config/validate.go
@@ -54,6 +54,7 @@
 		}
 	}
 	checkFraction(found, joinPath(path, "response-weight"), s.GetResponseWeight())
+	checkMicros(found, joinPath(path, "cost-per-slot-second-micros"), s.GetCostPerSlotSecondMicros(), maxCostPerSlotSecond)
 	checkFloors(found, path, s.FloorShare, s.GetMaxRunning(), len(s.GetDataCentres()))
 }
 
@@ -68,11 +69,25 @@
 	}
 	// A team lists no data centres, so only the range of the share is checked.
 	checkFloors(found, path, t.FloorShare, t.GetMaxRunning(), 0)
+	checkMicros(found, joinPath(path, "max-cost-per-hour-micros"), t.GetMaxCostPerHourMicros(), maxCostPerHour)
 	if allKnown {
 		checkTeamLimit(found, joinPath(path, "max-running"), t, services)
 	}
 }
 
+// The largest costs, in micros. They keep the estimated cost of all waiting tasks,
+// and the sum of what the data centres hold of a limit, within 64 bits.
+const (
+	maxCostPerSlotSecond = 10_000_000_000
+	maxCostPerHour       = 1 << 50
+)
+
+func checkMicros(found *faults, path string, value, highest uint64) {
+	if value > highest {
+		found.add(path, "must be at most "+strconv.FormatUint(highest, 10))
+	}
+}
+
 // checkTeamLimit rejects a team limit above the sum of the limits of the team's
 // services: the team can never reach it, so the operator would count on
 // capacity that the same file does not allow. There is no sum when one of the
