--- a/internal/adapter/caller/client.go
+++ b/internal/adapter/caller/client.go
@@ -34,6 +34,8 @@
 	// reply and reports it as invalid JSON. 1,300 outputs of 1 MB of escaped text
 	// each would exceed the limit; Limits.MaxJobBytes restricts only the inputs.
 	maxReplyBytes = 256 << 20
+	// maxRetryAfterSeconds is the longest Retry-After that is reported.
+	maxRetryAfterSeconds = 24 * 60 * 60
 )
 
 // Call is a submission to send.
@@ -316,7 +318,7 @@
 	}
 	e := fault.New(r.Error.Kind, r.Error.Ran).WithField(r.Error.Field).WithDetail(r.Error.Detail)
 	if seconds, err := strconv.Atoi(header.Get("Retry-After")); err == nil {
-		e = e.WithRetryAfter(time.Duration(seconds) * time.Second)
+		e = e.WithRetryAfter(time.Duration(min(max(seconds, 0), maxRetryAfterSeconds)) * time.Second)
 	}
 	return e
 }
--- a/internal/adapter/caller/client_test.go
+++ b/internal/adapter/caller/client_test.go
@@ -164,6 +164,23 @@
 	}
 }
 
+// TestClientOddRetryAfter guards against a Retry-After that overflows and tells the
+// program to retry at once.
+func TestClientOddRetryAfter(t *testing.T) {
+	for text, want := range map[string]time.Duration{"3": 3 * time.Second, "9223372036854775807": 24 * time.Hour, "10000000000": 24 * time.Hour, "-1": 0, "soon": 0} {
+		t.Run(text, func(t *testing.T) {
+			refusing := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Retry-After", text)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = w.Write([]byte(`{"error":{"kind":"queue-full","ran":"no"}}`))
+			})
+			client, _ := truncatingServer(t, refusing, 0)
+			_, err := client.Fetch(context.Background(), testID(4))
+			is.New(t).Equal(fault.From(err).RetryAfter, want)
+		})
+	}
+}
+
 // TestServerLimits guards against a server without a header limit and timeouts,
 // and against a body that is sent slowly or never ends and blocks a connection.
 func TestServerLimits(t *testing.T) {
