httpcall: allocate long replies as their bytes arrive

Four calls to a server that announces 8 MB and sends one byte allocated over 8 MB in TestAnnouncedLengthIsNotAllocated; an owner has a poll in flight at each of its endpoints, in a process of 144 MB or more. Frames of peers are read in parts for the same reason already.

Change: up to 64 kB are allocated at once, and the buffer of a longer reply grows as bytes arrive.

Result: TestAnnouncedLengthIsNotAllocated failed before and passes; TestLongReply, new, holds before and after.

--- a/internal/adapter/httpcall/client.go
+++ b/internal/adapter/httpcall/client.go
@@ -28,6 +28,10 @@
 	maxUncheckedIdle = 300 * time.Millisecond
 	// maxReply is the largest body of a reply, in bytes.
 	maxReply = 8 << 20
+	// maxAnnounced is the largest announced length of a body, in bytes, that is
+	// allocated at once. The buffer of a longer one grows as bytes arrive, since
+	// a server that announces them may not send them.
+	maxAnnounced = 64 << 10
 	// bufferSize is the size of the read and write buffers, in bytes.
 	bufferSize = 2 << 10
 )
@@ -264,14 +268,18 @@
 	if resp.ContentLength > maxReply {
 		return nil, fault.New(fault.TooLarge, fault.RanUnknown).WithDetail("the reply is too long")
 	}
-	if resp.ContentLength >= 0 {
+	if resp.ContentLength >= 0 && resp.ContentLength <= maxAnnounced {
 		data := make([]byte, resp.ContentLength)
 		_, err := io.ReadFull(resp.Body, data)
 		return data, err
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
-	if err == nil && len(data) > maxReply {
+	var data bytes.Buffer
+	if resp.ContentLength > 0 {
+		data.Grow(maxAnnounced)
+	}
+	_, err := data.ReadFrom(io.LimitReader(resp.Body, maxReply+1))
+	if err == nil && data.Len() > maxReply {
 		err = fault.New(fault.TooLarge, fault.RanUnknown).WithDetail("the reply is too long")
 	}
-	return data, err
+	return data.Bytes(), err
 }
--- a/internal/adapter/httpcall/client_test.go
+++ b/internal/adapter/httpcall/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -185,3 +186,40 @@
 	is.NoErr(err)
 	is.Equal(opened.Load(), int64(3))
 }
+
+// TestAnnouncedLengthIsNotAllocated guards against the memory that a server costs
+// by announcing long replies that it does not send.
+func TestAnnouncedLengthIsNotAllocated(t *testing.T) {
+	is := is.New(t)
+	const announced = 8 << 20
+	s, _ := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(announced))
+		_, _ = io.WriteString(w, "{")
+	})
+	client := newClient(s.URL, clock.System{})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 4 {
+		_, err := client.Do(context.Background(), 5*time.Second, httpcall.Call{Method: http.MethodGet, Path: "/"})
+		is.Equal(fault.From(err).Ran, fault.RanUnknown)
+	}
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < announced)
+}
+
+// TestLongReply guards against a long reply that is cut or altered.
+func TestLongReply(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("0123456789", 300_000)
+	s, opened := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body)
+	})
+	client := newClient(s.URL, clock.System{})
+	for range 2 {
+		r, err := client.Do(context.Background(), 5*time.Second, httpcall.Call{Method: http.MethodGet, Path: "/"})
+		is.NoErr(err)
+		is.True(string(r.Body) == body)
+	}
+	is.Equal(opened.Load(), int64(1))
+}
